Make the command line and the demo whole

Cause: the commands were thin: checks stopped at the schema, versions could go back, the report had no shares, and the demo ran one chain of two services without checking what it claims.

Change: cross-checks of all files with file, path and cure; versions that only grow; explain, status and audit; reports with fair shares, an earlier report to count from and a page with charts; a demo of both example deployments that fails when a claim does not hold.

--- a/packages/cli/src/command/command-error.ts
+++ b/packages/cli/src/command/command-error.ts
@@ -5,10 +5,12 @@
 /** Exit codes of the command-line tool. */
 export const exitCodes = {
     success: 0,
-    /** The command ran and found a problem, such as a mistake in a file or a node that did not answer. */
+    /** The command ran and found a problem, such as a mistake in a file or a request that is refused. */
     problem: 1,
     /** The command line could not be understood. */
     usage: 2,
+    /** Some nodes did not answer, so that the result is incomplete. */
+    incomplete: 3,
 } as const;
 
 /** Ends a command with a message on the error output. */
--- a/packages/cli/src/command/compile-command.ts
+++ b/packages/cli/src/command/compile-command.ts
@@ -1,55 +1,109 @@
 /**
  * `radishrouter check` and `radishrouter compile`: from operators' files to the document that they publish.
  */
-import { compileSources } from "@radishrouter/core";
-import type { Configuration, SourceText } from "@radishrouter/core";
-import { readFileSync, writeFileSync } from "node:fs";
+import { compileSources, configurationSchema } from "@radishrouter/core";
+import type { CompileResult, Configuration, SourceProblem } from "@radishrouter/core";
+import { renameSync, writeFileSync } from "node:fs";
 import { CommandError, exitCodes } from "./command-error.js";
+import { readJsonFile, readText } from "./read-files.js";
 
-const MAXIMUM_VALUE_BYTES = 1_000_000;
+/** The platform takes values of less than this. */
+const PLATFORM_VALUE_BYTES = 1_000_000;
+const FIRST_VERSION = 1;
 
-function readSources(files: readonly string[]): SourceText[] {
+/** Options of `radishrouter compile`. */
+export interface CompileOptions {
+    /** Version of the document. */
+    readonly versionNumber?: number;
+    /** File with the document that was published last. */
+    readonly previous?: string;
+    /** File to write. */
+    readonly out?: string;
+}
+
+/** A document that can be published. */
+export interface CompiledDocument {
+    readonly configuration: Configuration;
+    readonly text: string;
+    readonly warnings: readonly SourceProblem[];
+}
+
+/**
+ * Checks files and finds every mistake.
+ *
+ * @throws CommandError when a file cannot be read or none is given.
+ */
+export function checkFiles(files: readonly string[], version = FIRST_VERSION): CompileResult {
     if (files.length === 0) {
         throw CommandError.create("give the files to read", exitCodes.usage);
     }
-    return files.map(file => {
-        try {
-            return { file, text: readFileSync(file, "utf8") };
-        }
-        catch (error) {
-            throw CommandError.create(`${file}: ${(error as Error).message}`);
-        }
-    });
+    return compileSources(files.map(file => ({ file, text: readText(file) })), version);
+}
+
+/** Formats mistakes, one a line. */
+export function formatProblems(problems: readonly SourceProblem[]): string {
+    return problems.map(formatProblem).join("\n");
+}
+
+function formatProblem({ file, path, message, severity }: SourceProblem): string {
+    const place = path === "" ? file : `${file}: ${path}`;
+    return severity === "warning" ? `${place}: warning: ${message}` : `${place}: ${message}`;
 }
 
 /**
- * Compiles files to a configuration.
+ * Makes the document that operators publish.
  *
- * @throws CommandError that lists every mistake.
+ * @throws CommandError that lists every mistake, or says why the document cannot be published.
  */
-export function compileFiles(files: readonly string[], version: number): Configuration {
-    const result = compileSources(readSources(files), version);
+export function compileFiles(files: readonly string[], options: CompileOptions = {}): CompiledDocument {
+    const version = chooseVersion(options);
+    const result = checkFiles(files, version);
     switch (result.kind) {
-        case "compiled":
-            return result.configuration;
         case "refused":
-            throw CommandError.create(
-                result.problems.map(({ file, path, message }) => `${file}: ${path}: ${message}`).join("\n"),
-            );
+            throw CommandError.create(formatProblems(result.problems));
+        case "compiled":
+            return createDocument(result.configuration, result.warnings);
     }
 }
 
-/** Writes the document of files to a file, or returns it when no file is named. */
-export function compileToFile(files: readonly string[], options: { version: number; out?: string; }): string {
-    const text = JSON.stringify(compileFiles(files, options.version));
-    if (Buffer.byteLength(text) > MAXIMUM_VALUE_BYTES) {
+function createDocument(configuration: Configuration, warnings: readonly SourceProblem[]): CompiledDocument {
+    const text = JSON.stringify(configuration);
+    const bytes = Buffer.byteLength(text);
+    if (bytes >= PLATFORM_VALUE_BYTES) {
         throw CommandError.create(
-            `the document has ${Buffer.byteLength(text)} bytes; the platform takes less than 1 MB`,
+            `the document has ${bytes} bytes and the platform takes less than ${PLATFORM_VALUE_BYTES};` +
+                " remove withdrawn keys and unused routes, or split the deployment",
         );
     }
-    if (options.out === undefined) {
-        return text;
+    return { configuration, text, warnings };
+}
+
+function chooseVersion(options: CompileOptions): number {
+    const previous = options.previous === undefined ?
+        undefined :
+        readJsonFile(options.previous, configurationSchema, "a compiled document").version;
+    const version = options.versionNumber ?? (previous ?? FIRST_VERSION - 1) + 1;
+    if (!Number.isSafeInteger(version) || version < FIRST_VERSION) {
+        throw CommandError.create(`--version-number ${version}: use a whole number from 1`, exitCodes.usage);
+    }
+    if (previous !== undefined && version <= previous) {
+        throw CommandError.create(
+            `--version-number ${version}: nodes keep version ${previous}, which is not lower; use at least ${
+                previous + 1
+            }`,
+        );
+    }
+    return version;
+}
+
+/** Writes a document so that readers see the old file or the whole new one. */
+export function writeDocument(file: string, document: CompiledDocument): void {
+    const temporary = `${file}.${process.pid}.tmp`;
+    try {
+        writeFileSync(temporary, document.text);
+        renameSync(temporary, file);
+    }
+    catch (error) {
+        throw CommandError.create(`${file}: cannot be written: ${(error as Error).message}`);
     }
-    writeFileSync(options.out, text);
-    return `wrote version ${options.version} to ${options.out}`;
 }
--- /dev/null
+++ b/packages/cli/src/command/read-files.ts
@@ -0,0 +1,45 @@
+/**
+ * Files that commands read.
+ */
+import { readFileSync } from "node:fs";
+import type { z } from "zod";
+import { CommandError } from "./command-error.js";
+
+/**
+ * Reads a text file.
+ *
+ * @throws CommandError when the file cannot be read.
+ */
+export function readText(file: string): string {
+    try {
+        return readFileSync(file, "utf8");
+    }
+    catch (error) {
+        throw CommandError.create(`${file}: cannot be read: ${(error as Error).message}`);
+    }
+}
+
+/**
+ * Reads a JSON file of a schema.
+ *
+ * @throws CommandError when the file cannot be read or has another form.
+ */
+export function readJsonFile<Schema extends z.ZodType>(
+    file: string,
+    schema: Schema,
+    description: string,
+): z.output<Schema> {
+    let content: unknown;
+    try {
+        content = JSON.parse(readText(file));
+    }
+    catch (error) {
+        throw error instanceof CommandError ? error : CommandError.create(`${file}: is not JSON: ${String(error)}`);
+    }
+    const parsed = schema.safeParse(content);
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0];
+        throw CommandError.create(`${file}: is not ${description}: ${issue?.path.join(".")}: ${issue?.message}`);
+    }
+    return parsed.data;
+}
--- a/packages/cli/src/command/report-command.ts
+++ b/packages/cli/src/command/report-command.ts
@@ -1,75 +1,45 @@
 /**
  * `radishrouter report`: who got what when capacity ran short.
  */
-import { nodeReportSchema } from "@radishrouter/core";
-import type { NodeReport, OrganisationOutcomes } from "@radishrouter/core";
-import Table from "cli-table3";
-import { request } from "undici";
+import { writeFileSync } from "node:fs";
+import type { TableStyle } from "../output/text-table.js";
+import { collectReport, earlierReportSchema } from "../report/fleet-report.js";
+import type { FleetReport } from "../report/fleet-report.js";
+import { createReportPage } from "../report/report-page.js";
+import { formatReport } from "../report/report-table.js";
+import { CommandError } from "./command-error.js";
+import { readJsonFile } from "./read-files.js";
 
-/** Counters of all nodes that answered. */
-export interface FleetReport {
-    readonly organisations: Record<string, OrganisationOutcomes>;
-    readonly nodes: readonly NodeReport[];
-    /** Nodes that did not answer; their requests are missing from the counters. */
-    readonly unreachable: readonly string[];
+/** Options of `radishrouter report`. */
+export interface ReportOptions {
+    readonly json?: boolean;
+    /** File to write a page to. */
+    readonly html?: string;
+    /** File with the JSON of an earlier report, from which to count on. */
+    readonly since?: string;
 }
 
-function addCounters(into: Record<string, number>, counters: Record<string, number>): void {
-    for (const [name, count] of Object.entries(counters)) {
-        into[name] = (into[name] ?? 0) + count;
-    }
-}
-
-function addOutcomes(into: OrganisationOutcomes, outcomes: OrganisationOutcomes): void {
-    into.offered += outcomes.offered;
-    into.completed += outcomes.completed;
-    into.delayed += outcomes.delayed;
-    into.refusedWithinRate += outcomes.refusedWithinRate;
-    addCounters(into.refused, outcomes.refused);
-    addCounters(into.failed, outcomes.failed);
-    addCounters(into.unknown, outcomes.unknown);
+/** Collects a report. */
+export function runReport(urls: readonly string[], options: ReportOptions): Promise<FleetReport> {
+    const earlier = options.since === undefined ?
+        undefined :
+        readJsonFile(options.since, earlierReportSchema, "a report made with --json");
+    return collectReport(urls, earlier);
 }
 
-/** Asks nodes for their counters and adds them up. */
-export async function collectReport(urls: readonly string[]): Promise<FleetReport> {
-    const nodes: NodeReport[] = [];
-    const unreachable: string[] = [];
-    await Promise.all(urls.map(async url => {
+/**
+ * Formats a report as the options ask for it; writes the page if one is asked for.
+ *
+ * @throws CommandError when the page cannot be written.
+ */
+export function presentReport(report: FleetReport, options: ReportOptions, style: TableStyle): string {
+    if (options.html !== undefined) {
         try {
-            const answer = await request(`${url}/report`, { headersTimeout: 2_000 });
-            nodes.push(nodeReportSchema.parse(await answer.body.json()));
-        }
-        catch {
-            unreachable.push(url);
+            writeFileSync(options.html, createReportPage(report));
         }
-    }));
-    const organisations: Record<string, OrganisationOutcomes> = {};
-    for (const [name, outcomes] of nodes.flatMap(node => Object.entries(node.organisations))) {
-        const total = organisations[name];
-        if (total) {
-            addOutcomes(total, outcomes);
+        catch (error) {
+            throw CommandError.create(`${options.html}: cannot be written: ${(error as Error).message}`);
         }
-        else {
-            organisations[name] = structuredClone(outcomes);
-        }
-    }
-    return { organisations, nodes, unreachable };
-}
-
-function sum(counters: Record<string, number>): number {
-    return Object.values(counters).reduce((total, count) => total + count, 0);
-}
-
-/** Formats a report for a terminal. */
-export function formatReport(report: FleetReport): string {
-    const table = new Table({
-        head: ["organisation", "offered", "completed", "delayed", "refused", "failed", "unknown"],
-        style: { head: [], border: [] },
-    });
-    for (const [name, outcomes] of Object.entries(report.organisations).sort()) {
-        const { offered, completed, delayed, refused, failed, unknown } = outcomes;
-        table.push([name, offered, completed, delayed, sum(refused), sum(failed), sum(unknown)]);
     }
-    const missing = report.unreachable.map(url => `no answer from ${url}: its requests are missing`);
-    return [table.toString(), ...missing].join("\n");
+    return options.json ? JSON.stringify(report) : formatReport(report, style);
 }
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,7 +1,13 @@
 /**
- * Commands of the command-line tool, for programs that call them directly.
+ * What the command-line tool does, for programs that need it without a process of its own.
  */
 export { CommandError, exitCodes } from "./command/command-error.js";
-export { compileFiles, compileToFile } from "./command/compile-command.js";
-export { collectReport, formatReport } from "./command/report-command.js";
-export type { FleetReport } from "./command/report-command.js";
+export { runCommandLine } from "./command/command-line.js";
+export { checkFiles, compileFiles, writeDocument } from "./command/compile-command.js";
+export type { CompiledDocument, CompileOptions } from "./command/compile-command.js";
+export { divideFairly } from "./report/fair-share.js";
+export { collectReport, createReport } from "./report/fleet-report.js";
+export type { FleetReport, NodeCounters, OrganisationReport } from "./report/fleet-report.js";
+export { countEnded, sumCounters } from "./report/outcome-sums.js";
+export { createReportPage } from "./report/report-page.js";
+export { formatReport } from "./report/report-table.js";
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,5 +18,8 @@
 export * from "./version/configuration-version.js";
 export * from "./version/configuration.js";
 export * from "./version/host-list.js";
+export * from "./version/request-explanation.js";
 export * from "./version/route-index.js";
+export * from "./version/source-checks.js";
 export * from "./version/source-compiler.js";
+export * from "./version/source-problem.js";
--- a/packages/core/src/process/outcome-ledger.ts
+++ b/packages/core/src/process/outcome-ledger.ts
@@ -86,9 +86,10 @@
         };
     }
 
-    /** Copies the counters. */
+    /** Copies the counters of all organisations that offered a request. */
     snapshot(): Record<string, OrganisationOutcomes> {
-        return structuredClone(Object.fromEntries(this.organisations));
+        const offering = [...this.organisations].filter(([, outcomes]) => outcomes.offered > 0);
+        return structuredClone(Object.fromEntries(offering));
     }
 
     private count(outcomes: OrganisationOutcomes, outcome: Outcome): void {
--- a/packages/core/src/version/route-index.ts
+++ b/packages/core/src/version/route-index.ts
@@ -30,6 +30,23 @@
     return new RegExp(`^${source}$`);
 }
 
+/** Whether every request that a later route path matches is matched by an earlier one. */
+export function coversPath(earlier: string, later: string): boolean {
+    const earlierSegments = earlier.split("/");
+    const laterSegments = later.split("/");
+    for (const [index, segment] of earlierSegments.entries()) {
+        const other = laterSegments[index];
+        if (segment === "*") {
+            return other !== undefined;
+        }
+        const isCovered = segment === other || (segment.startsWith(":") && other !== undefined && other !== "*");
+        if (!isCovered) {
+            return false;
+        }
+    }
+    return earlierSegments.length === laterSegments.length;
+}
+
 /** All routes of one configuration version; the first path segment of a request names its service. */
 export class RouteIndex {
     private constructor(
--- a/packages/core/src/version/source-compiler.ts
+++ b/packages/core/src/version/source-compiler.ts
@@ -1,9 +1,11 @@
 /**
  * Joins the files beside the services' code into the document that operators publish.
  */
-import type { z } from "zod";
 import { configurationSchema, sourceFileSchema } from "./configuration.js";
 import type { Configuration, SourceFile } from "./configuration.js";
+import { checkConfiguration } from "./source-checks.js";
+import { toProblems } from "./source-problem.js";
+import type { SourceProblem } from "./source-problem.js";
 
 /** One file as it was read. */
 export interface SourceText {
@@ -11,21 +13,18 @@
     readonly text: string;
 }
 
-/** One mistake in a file. */
-export interface SourceProblem {
-    readonly file: string;
-    /** Path to the value within the file, such as `services.items.slots`. */
-    readonly path: string;
-    readonly message: string;
-}
-
 /** What compiling gave: a document, or every mistake that was found. */
 export type CompileResult =
-    | { readonly kind: "compiled"; readonly configuration: Configuration; }
+    | {
+        readonly kind: "compiled";
+        readonly configuration: Configuration;
+        readonly warnings: readonly SourceProblem[];
+    }
     | { readonly kind: "refused"; readonly problems: readonly SourceProblem[]; };
 
 type Section = keyof SourceFile;
 
+const JOINED_FILES = "the joined files";
 const sections: readonly Section[] = ["organisations", "services", "failureDomains"];
 
 /** Checks files and joins them into one version of the configuration. */
@@ -47,9 +46,16 @@
         return { kind: "refused", problems };
     }
     const parsed = configurationSchema.safeParse({ version, ...joined });
-    return parsed.success ?
-        { kind: "compiled", configuration: parsed.data } :
-        { kind: "refused", problems: toProblems("the joined files", parsed.error) };
+    if (!parsed.success) {
+        return { kind: "refused", problems: toProblems(JOINED_FILES, parsed.error) };
+    }
+    return finish(parsed.data, checkConfiguration(parsed.data, path => origins.get(path) ?? JOINED_FILES));
+}
+
+function finish(configuration: Configuration, found: readonly SourceProblem[]): CompileResult {
+    return found.some(problem => problem.severity === "error") ?
+        { kind: "refused", problems: found } :
+        { kind: "compiled", configuration, warnings: found };
 }
 
 interface JoinTarget {
@@ -65,7 +71,7 @@
         const other = target.origins.get(path);
         if (other !== undefined) {
             const message = `is already defined in ${other}; keep one of the two`;
-            target.problems.push({ file: target.file, path, message });
+            target.problems.push({ file: target.file, path, message, severity: "error" });
             continue;
         }
         target.origins.set(path, target.file);
@@ -79,7 +85,8 @@
         content = JSON.parse(source.text);
     }
     catch (error) {
-        problems.push({ file: source.file, path: "", message: `is not JSON: ${(error as Error).message}` });
+        const message = `is not JSON; correct it here: ${(error as Error).message}`;
+        problems.push({ file: source.file, path: "", message, severity: "error" });
         return undefined;
     }
     const parsed = sourceFileSchema.safeParse(content);
@@ -89,7 +96,3 @@
     }
     return parsed.data;
 }
-
-function toProblems(file: string, error: z.ZodError): SourceProblem[] {
-    return error.issues.map(issue => ({ file, path: issue.path.join("."), message: issue.message }));
-}
--- a/packages/daemon/src/connection/operators-listener.ts
+++ b/packages/daemon/src/connection/operators-listener.ts
@@ -1,7 +1,14 @@
 /**
  * What operators ask a node: health, status, report and audit trail. Listens on loopback only.
  */
-import type { AuditTrail, LocalLoad, NodeReport, NodeStatus, OutcomeLedger } from "@radishrouter/core";
+import type {
+    AuditTrail,
+    ConfigurationVersion,
+    LocalLoad,
+    NodeReport,
+    NodeStatus,
+    OutcomeLedger,
+} from "@radishrouter/core";
 import express from "express";
 import type { Server } from "node:http";
 import { createServer } from "node:http";
@@ -12,6 +19,7 @@
     readonly audit: AuditTrail;
     readonly load: () => LocalLoad;
     readonly status: () => NodeStatus;
+    readonly version: () => ConfigurationVersion | undefined;
 }
 
 /** Creates the server for operators. */
@@ -28,6 +36,10 @@
     application.get("/report", (_request, response) => {
         response.json(createReport(parts));
     });
+    application.get("/configuration", (_request, response) => {
+        const version = parts.version();
+        response.status(version ? 200 : 503).json(version?.configuration ?? {});
+    });
     application.get("/audit", (request, response) => {
         response.json({ entries: parts.audit.since(Number(request.query["since"]) || 0) });
     });
--- a/packages/testbed/src/demo/main.ts
+++ b/packages/testbed/src/demo/main.ts
@@ -1,63 +1,57 @@
 /**
- * `npm run demo`: starts a small fleet, sends traffic with a surge of one organisation, and prints the report.
+ * `npm run demo`: both example deployments as processes on loopback, from operators' files to the report.
  */
-import { collectReport, formatReport } from "@radishrouter/cli";
-import { Pool } from "undici";
-import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet } from "../fleet/fleet.js";
+import { createReportPage, formatReport } from "@radishrouter/cli";
+import type { FleetReport } from "@radishrouter/cli";
+import { writeFileSync } from "node:fs";
+import { MeshRun } from "./mesh-run.js";
+import { meshes } from "./meshes.js";
+import type { Mesh } from "./meshes.js";
 
-const REQUESTS_PER_ORGANISATION = 100;
-const SURGE_FACTOR = 10;
+const MS_PER_SECOND = 1000;
+const startMs = performance.now();
 
-async function sendTraffic(url: string, key: string, requests: number): Promise<number> {
-    const pool = new Pool(url, { connections: 32 });
-    const headers = { authorization: `Bearer ${key}` };
-    const answers = await Promise.all(Array.from({ length: requests }, async (_, index) => {
-        const answer = await pool.request({ method: "GET", path: `/catalogue/read/${index}`, headers });
-        await answer.body.dump();
-        return answer.statusCode;
-    }));
-    await pool.close();
-    return answers.filter(status => status === 200).length;
+function showProgress(message: string): void {
+    const seconds = ((performance.now() - startMs) / MS_PER_SECOND).toFixed(1);
+    process.stdout.write(`demo: ${seconds} s  ${message}\n`);
 }
 
-async function main(): Promise<void> {
-    const example = createExampleConfiguration({
-        organisations: { archive: { rate: 100, burst: 100 }, mission: { rate: 100, burst: 100 } },
-        services: { catalogue: {}, items: {} },
-        failureDomains: { "khomas-a": { region: "khomas", seats: 2 } },
-    });
-    const host = { failureDomain: "khomas-a", region: "khomas" };
-    const fleet = await Fleet.create({
-        configuration: example.configuration,
-        hosts: [
-            {
-                ...host,
-                name: "catalogue-1",
-                service: "catalogue",
-                seat: 0,
-                behaviour: { onwardCalls: ["/items/read/1"] },
-            },
-            { ...host, name: "items-1", service: "items", seat: 1 },
-        ],
-    });
+async function runMesh(mesh: Mesh, index: number): Promise<FleetReport> {
+    const run = await MeshRun.create(mesh, process.pid + index, showProgress);
     try {
-        const url = fleet.callerUrl("catalogue-1");
-        await sendTraffic(url, example.keys["archive"]!, REQUESTS_PER_ORGANISATION * SURGE_FACTOR);
-        await sendTraffic(url, example.keys["mission"]!, REQUESTS_PER_ORGANISATION);
-        const report = await collectReport([...fleet.hosts.keys()].map(name => fleet.operatorsUrl(name)));
-        process.stdout.write(`${formatReport(report)}\n`);
+        return await run.run();
     }
     finally {
-        await fleet.stop();
+        await run.stop();
+    }
+}
+
+/** Shows the report, and writes it as a page if `--html DIRECTORY` was given. */
+function present(mesh: Mesh, report: FleetReport): void {
+    process.stdout.write(`\n${mesh.name}: who got what\n${formatReport(report, "lines")}\n`);
+    const option = process.argv.indexOf("--html");
+    const directory = option < 0 ? undefined : process.argv[option + 1];
+    if (directory !== undefined) {
+        writeFileSync(`${directory}/${mesh.name}.html`, createReportPage(report));
     }
 }
 
 try {
-    await main();
+    showProgress("starting two deployments; this takes about 20 seconds");
+    const results = await Promise.allSettled(meshes.map(runMesh));
+    for (const [index, result] of results.entries()) {
+        if (result.status === "fulfilled") {
+            present(meshes[index]!, result.value);
+        }
+    }
+    const failed = results.find(result => result.status === "rejected");
+    if (failed) {
+        throw failed.reason;
+    }
     process.stdout.write("demo: ok\n");
 }
 catch (error) {
-    process.stdout.write(`demo: failed ${error instanceof Error ? error.message : String(error)}\n`);
+    const reason = error instanceof Error ? error.message : String(error);
+    process.stdout.write(`demo: failed ${reason.replace(/\s+/g, " ")}\n`);
     process.exitCode = 1;
 }
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -79,6 +79,7 @@
     private platform: Child | undefined;
     private proxy: Child | undefined;
     private hostRevision = 0;
+    private replacements = 0;
 
     private constructor(private readonly options: FleetOptions) {
         this.addresses = FleetAddresses.create(options.addressSeed ?? process.pid);
@@ -201,6 +202,22 @@
         await host.backend.ready;
     }
 
+    /** Stops a host in order and starts another one, at a new address, in its place. */
+    async replaceHost(name: string, replacement: HostSpecification): Promise<void> {
+        const host = this.host(name);
+        host.node.signal("SIGTERM");
+        await host.node.waitForExit();
+        host.backend.signal("SIGTERM");
+        await host.backend.waitForExit();
+        this.earlierBackends.push(host.backend);
+        this.hosts.delete(name);
+        this.startHost(replacement, this.options.hosts.length + this.replacements++);
+        await this.host(replacement.name).node.ready;
+        await this.host(replacement.name).backend.ready;
+        await this.publishHosts();
+        await this.waitForConfiguration(replacement.name);
+    }
+
     /** What all backend servers ran, also those that have ended. */
     runRecords(): RunRecord[] {
         const backends = [...this.earlierBackends, ...[...this.hosts.values()].map(host => host.backend)];
