Refuse what servers could read differently, and keep keys out of everything sent on

Cause: requests that the parser refuses got bare 400 answers or none; duplicate hosts, unknown codings and dot segments were passed on, so that an open route could lead to another path; keys in other headers, in Base64 or encoded twice reached backend servers; slow senders were looked for every 30 s only; nothing bounded what one caller held open; the forward listener took any number for retries and deadline and told its load to strangers.

Change: targets are read in one spelling (core request-target), heads are checked beyond the parser (request-head), a guard answers parser errors with problem documents and bounds connections and requests of a caller (caller-guard), anything of a key's shape is left out (key-redaction), forwarded headers have bounds (forwarded-headers). A body that breaks off after it was partly sent on is said to be unknown, before that not run.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -19,6 +19,7 @@
 export * from "./version/configuration.js";
 export * from "./version/host-list.js";
 export * from "./version/request-explanation.js";
+export * from "./version/request-target.js";
 export * from "./version/route-index.js";
 export * from "./version/source-checks.js";
 export * from "./version/source-compiler.js";
--- a/packages/core/src/result-code.ts
+++ b/packages/core/src/result-code.ts
@@ -40,6 +40,7 @@
     define(1012, "peer-not-authenticated", 403, "not-run", "The sender is not a node of this deployment."),
     define(1013, "idempotency-key-invalid", 400, "not-run", "The idempotency key is malformed."),
     define(1014, "idempotency-key-reused", 422, "not-run", "The idempotency key was used for another request."),
+    define(1015, "headers-too-large", 431, "not-run", "The headers are larger than this node accepts."),
     define(2001, "rate-exceeded", 429, "not-run", "The organisation is over its rate."),
     define(2002, "overloaded", 503, "not-run", "The service is at capacity."),
     define(2003, "deadline-too-near", 503, "not-run", "The request cannot be completed before its deadline."),
--- a/packages/core/src/version/route-index.ts
+++ b/packages/core/src/version/route-index.ts
@@ -2,6 +2,7 @@
  * Finds the route of a request within one configuration version.
  */
 import type { Configuration, Route, Service } from "./configuration.js";
+import { parseRequestTarget } from "./request-target.js";
 
 /** Where a request goes and how it is treated. */
 export interface MatchedRoute {
@@ -64,18 +65,17 @@
 
     /** Finds the route for a method and a request target such as `/items/search?q=1`. */
     find(method: string, target: string): MatchedRoute | undefined {
-        const match = /^\/([^/?#]+)(\/[^?#]*)?(\?[^#]*)?$/.exec(target);
-        const serviceName = match?.[1];
-        if (serviceName === undefined) {
+        const parsed = parseRequestTarget(target);
+        if (parsed.kind === "invalid") {
             return undefined;
         }
-        const path = match?.[2] ?? "/";
+        const { serviceName, path, query } = parsed;
         const found = this.routes.get(serviceName)
             ?.find(({ route, pattern }) => route.method === method && pattern.test(path));
         if (!found) {
             return undefined;
         }
         const service = this.configuration.services[serviceName]!;
-        return { serviceName, service, route: found.route, backendPath: path + (match?.[3] ?? "") };
+        return { serviceName, service, route: found.route, backendPath: path + query };
     }
 }
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -15,12 +15,14 @@
 import type { RequestDispatcher } from "../process/request-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
-import { DEADLINE_HEADER, INTERNAL_HEADER_PREFIX } from "../request/header-names.js";
+import { DEADLINE_HEADER } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
 import { readDeadlineMs } from "../request/request-deadline.js";
-import { containsKey, createOnwardHeaders } from "../request/request-headers.js";
+import { checkRequestHead, readKey } from "../request/request-head.js";
+import { createOnwardHeaders } from "../request/request-headers.js";
 import { RequestLifetime } from "../request/request-lifetime.js";
+import { CallerGuard } from "./caller-guard.js";
 import { createHttpServer } from "./http-server.js";
 
 /** Parts that the listener works with. */
@@ -44,25 +46,42 @@
 
 const OPEN_ORGANISATION = "(open)";
 const DELAYED_MS = 1;
+/** How often slow senders are looked for. */
+const CHECK_INTERVAL_MS = 500;
 
 /** Creates the server for callers. */
 export function createCallerServer(parts: CallerListenerParts): Server {
     const options = {
         headersTimeout: parts.limits.headersTimeoutMs,
         requestTimeout: parts.limits.requestTimeoutMs,
-        requireHostHeader: true,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        requireHostHeader: false,
         insecureHTTPParser: false,
     };
-    return createHttpServer(options, (request, response) => serve(parts, request, response));
+    const guard = CallerGuard.create(parts);
+    const server = createHttpServer(options, async (request, response) => {
+        if (guard.begin(request, response)) {
+            await serve(parts, guard, request, response);
+        }
+    });
+    guard.protect(server);
+    return server;
 }
 
-async function serve(parts: CallerListenerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
+async function serve(
+    parts: CallerListenerParts,
+    guard: CallerGuard,
+    request: IncomingMessage,
+    response: ServerResponse,
+): Promise<void> {
     const entry = parts.ledger.offer();
+    let closeRequest: (() => void) | undefined;
     try {
         const admission = admit(parts, request);
         entry.assign(admission.identity?.organisation ?? OPEN_ORGANISATION);
+        closeRequest = guard.openRequest(admission.identity?.keyId ?? request.socket.remoteAddress ?? "");
         await acquireRate(parts, admission);
-        await run(parts, request, response, admission, entry);
+        await run(parts, request, response, { ...admission, guard }, entry);
     }
     catch (error) {
         const failure = toRequestError(error);
@@ -73,6 +92,9 @@
         );
         sendProblem(response, failure);
     }
+    finally {
+        closeRequest?.();
+    }
 }
 
 function admit(parts: CallerListenerParts, request: IncomingMessage): Admission {
@@ -83,7 +105,7 @@
     if (!version) {
         throw RequestError.create("configuration-missing");
     }
-    refuseInternalHeaders(request);
+    checkRequestHead(request);
     const matched = version.routes.find(request.method ?? "", request.url ?? "");
     if (!matched) {
         throw RequestError.create("route-unknown");
@@ -93,27 +115,9 @@
     if (!matched.route.open) {
         requireIdentity(matched, key, identity);
     }
-    if (key !== undefined && containsKey(request.url ?? "", key)) {
-        throw RequestError.create("malformed-request", { detail: "The request target holds the key." });
-    }
     return { matched, identity, key };
 }
 
-function refuseInternalHeaders(request: IncomingMessage): void {
-    const forged = Object.keys(request.headers).find(name => name.startsWith(INTERNAL_HEADER_PREFIX));
-    if (forged !== undefined) {
-        throw RequestError.create("internal-header", { detail: `${forged}: only nodes may send this header` });
-    }
-}
-
-function readKey(request: IncomingMessage): string | undefined {
-    const values = request.headersDistinct["authorization"] ?? [];
-    if (values.length > 1) {
-        throw RequestError.create("malformed-request", { detail: "authorization: send this header once" });
-    }
-    return /^bearer +(\S+) *$/i.exec(values[0] ?? "")?.[1];
-}
-
 function requireIdentity(matched: MatchedRoute, key: string | undefined, identity: Identity | undefined): void {
     if (key === undefined) {
         throw RequestError.create("key-missing");
@@ -141,7 +145,7 @@
     parts: CallerListenerParts,
     request: IncomingMessage,
     response: ServerResponse,
-    admission: Admission,
+    admission: Admission & { readonly guard: CallerGuard; },
     entry: OpenEntry,
 ): Promise<void> {
     const { matched, key } = admission;
@@ -163,7 +167,9 @@
             hasBody: hasBody(request),
             replayBytes: parts.limits.replayBytes,
             maximumBytes: parts.limits.bodyBytes,
+            readFailure: () => admission.guard.bodyFailure(request),
         });
+        admission.guard.markSent(response);
         const retriesBefore = context.retryBudget.left;
         const answer = await parts.dispatcher.dispatch(context, body);
         await writeAnswer(response, answer, lifetime.signal);
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -1,13 +1,15 @@
 /**
  * Requests that other nodes forward to the backend server of this host.
  */
-import { importanceSchema, RequestError, RetryBudget } from "@radishrouter/core";
+import { RequestError, RetryBudget } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
+import { readForwardedHeaders } from "../request/forwarded-headers.js";
+import type { ForwardedRequest } from "../request/forwarded-headers.js";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
@@ -35,8 +37,23 @@
 }
 
 async function serve(parts: ForwardListenerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const retryBudget = RetryBudget.create(Number(request.headers[forwardHeaders.retries]) || 0);
-    const remainingMs = Number(request.headers[forwardHeaders.remainingMs]) || 0;
+    try {
+        authenticate(parts, request);
+        await serveForwarded(parts, request, response, readForwardedHeaders(request.headers));
+    }
+    catch (error) {
+        sendProblem(response, toRequestError(error));
+    }
+}
+
+async function serveForwarded(
+    parts: ForwardListenerParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+    forwarded: ForwardedRequest,
+): Promise<void> {
+    const { remainingMs } = forwarded;
+    const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const answerWith = (outcome: string) => ({
         [answerHeaders.outcome]: outcome,
@@ -44,8 +61,7 @@
         [answerHeaders.load]: JSON.stringify(parts.load()),
     });
     try {
-        authenticate(parts, request);
-        const context = createContext(parts, request, retryBudget, remainingMs, lifetime.signal);
+        const context = createContext(parts, request, forwarded, retryBudget, lifetime.signal);
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
             replayBytes: 0,
@@ -76,8 +92,8 @@
 function createContext(
     parts: ForwardListenerParts,
     request: IncomingMessage,
+    forwarded: ForwardedRequest,
     retryBudget: RetryBudget,
-    remainingMs: number,
     signal: AbortSignal,
 ): RequestContext {
     const version = parts.version();
@@ -92,13 +108,13 @@
         throw RequestError.create("no-backend-server", { detail: "This host does not run the service." });
     }
     return {
-        organisation: String(request.headers[forwardHeaders.organisation]),
-        importance: importanceSchema.catch("normal").parse(request.headers[forwardHeaders.importance]),
+        organisation: forwarded.organisation,
+        importance: forwarded.importance,
         method: request.method!,
         target: request.url!,
         matched,
         headers: createOnwardHeaders(request.headers, undefined),
-        deadlineMs: parts.clock.nowMs() + remainingMs,
+        deadlineMs: parts.clock.nowMs() + forwarded.remainingMs,
         retryBudget,
         signal,
     };
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -45,6 +45,10 @@
         headersTimeoutMs: z.number().int().positive().default(5_000),
         /** Time for a caller to send a whole request. */
         requestTimeoutMs: z.number().int().positive().default(30_000),
+        /** Connections that callers of one address may hold open. */
+        connectionsPerAddress: z.number().int().positive().default(4_096),
+        /** Requests that one key, or one address without a key, may have open. */
+        requestsPerCaller: z.number().int().positive().default(4_096),
         /** Time that running requests get at a planned stop. */
         shutdownMs: z.number().int().positive().default(30_000),
     }).prefault({}),
--- /dev/null
+++ b/packages/daemon/src/request/forwarded-headers.ts
@@ -0,0 +1,49 @@
+/**
+ * Headers that a node sends with a forwarded request, read within their bounds.
+ */
+import { importanceSchema, nameSchema, RequestError } from "@radishrouter/core";
+import type { Importance } from "@radishrouter/core";
+import type { IncomingHttpHeaders } from "node:http";
+import { z } from "zod";
+import { forwardHeaders } from "./header-names.js";
+
+const MAXIMUM_RETRIES = 16;
+const MAXIMUM_REMAINING_MS = 600_000;
+/** Organisations, and the name under which requests on open routes are counted. */
+const OPEN_ORGANISATION = "(open)";
+
+/** What a node says of a request that it forwards. */
+export interface ForwardedRequest {
+    readonly organisation: string;
+    readonly importance: Importance;
+    readonly remainingMs: number;
+    readonly retries: number;
+}
+
+const wholeNumberSchema = z.string().regex(/^[0-9]{1,9}$/).transform(Number);
+
+const forwardedSchema = z.object({
+    organisation: z.union([nameSchema, z.literal(OPEN_ORGANISATION)]),
+    importance: importanceSchema,
+    remainingMs: wholeNumberSchema.pipe(z.number().max(MAXIMUM_REMAINING_MS)),
+    retries: wholeNumberSchema.pipe(z.number().max(MAXIMUM_RETRIES)),
+});
+
+/**
+ * Reads the headers of a forwarded request.
+ *
+ * @throws RequestError when one is missing, malformed or out of bounds.
+ */
+export function readForwardedHeaders(headers: IncomingHttpHeaders): ForwardedRequest {
+    const parsed = forwardedSchema.safeParse({
+        organisation: headers[forwardHeaders.organisation],
+        importance: headers[forwardHeaders.importance],
+        remainingMs: headers[forwardHeaders.remainingMs],
+        retries: headers[forwardHeaders.retries],
+    });
+    if (!parsed.success) {
+        const name = parsed.error.issues[0]?.path[0] as keyof typeof forwardHeaders;
+        throw RequestError.create("malformed-request", { detail: `${forwardHeaders[name]}: missing or out of bounds` });
+    }
+    return parsed.data;
+}
--- a/packages/daemon/src/request/request-body.ts
+++ b/packages/daemon/src/request/request-body.ts
@@ -2,6 +2,7 @@
  * Bodies of requests, kept when they are small enough to be sent again.
  */
 import { RequestError } from "@radishrouter/core";
+import { IncomingMessage } from "node:http";
 import { Readable } from "node:stream";
 
 /** Body of a request on its way to a backend server. */
@@ -12,6 +13,17 @@
     /** Can be sent once. */
     | { readonly kind: "streamed"; readonly stream: Readable; };
 
+/** How a body is read. */
+export interface BodyOptions {
+    readonly hasBody: boolean;
+    /** Bytes up to which the body is kept so that it can be sent again. */
+    readonly replayBytes: number;
+    /** Bytes above which the body is refused. */
+    readonly maximumBytes: number;
+    /** Result of a request whose sender failed before anything was sent on. */
+    readonly readFailure?: () => RequestError;
+}
+
 /**
  * Reads a body up to `replayBytes`; a longer one is passed on as a stream.
  *
@@ -19,16 +31,19 @@
  */
 export async function readRequestBody(
     source: Readable,
-    options: { hasBody: boolean; replayBytes: number; maximumBytes: number; },
+    options: BodyOptions,
 ): Promise<RequestBody> {
     if (!options.hasBody) {
         return { kind: "none" };
     }
+    if (source instanceof IncomingMessage && Number(source.headers["content-length"] ?? 0) > options.maximumBytes) {
+        throw RequestError.create("body-too-large");
+    }
     const chunks: Buffer[] = [];
     let size = 0;
     const iterator = source.iterator({ destroyOnReturn: false })[Symbol.asyncIterator]();
     for (;;) {
-        const next = await iterator.next() as IteratorResult<Buffer>;
+        const next = await readNext(iterator, options);
         if (next.done) {
             return { kind: "buffered", content: Buffer.concat(chunks) };
         }
@@ -46,6 +61,15 @@
     }
 }
 
+async function readNext(iterator: AsyncIterator<Buffer>, options: BodyOptions): Promise<IteratorResult<Buffer>> {
+    try {
+        return await iterator.next() as IteratorResult<Buffer>;
+    }
+    catch (error) {
+        throw options.readFailure?.() ?? error;
+    }
+}
+
 async function* joinChunks(
     chunks: readonly Buffer[],
     sizeSoFar: number,
@@ -57,7 +81,7 @@
     for (let next = await rest.next(); !next.done; next = await rest.next()) {
         size += next.value.length;
         if (size > maximumBytes) {
-            throw RequestError.create("body-too-large");
+            throw RequestError.create("body-too-large", { execution: "unknown" });
         }
         yield next.value;
     }
--- a/packages/daemon/src/request/request-headers.ts
+++ b/packages/daemon/src/request/request-headers.ts
@@ -3,30 +3,17 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { DEADLINE_HEADER, INTERNAL_HEADER_PREFIX, isHopByHop } from "./header-names.js";
+import { containsAccessKey } from "./key-redaction.js";
 
 /** Headers as they are sent on. */
 export type HeaderMap = Record<string, string | string[]>;
 
 const credentialHeaders = new Set(["authorization", "proxy-authorization"]);
 
-function decode(text: string): string {
-    try {
-        return decodeURIComponent(text);
-    }
-    catch {
-        return text;
-    }
-}
-
-/** Whether a text holds a key, also when it is percent-encoded. */
-export function containsKey(text: string, key: string): boolean {
-    return text.includes(key) || decode(text).includes(key);
-}
-
 /**
  * Copies the headers that may be sent on.
  *
- * Leaves out credentials, every other header that holds the key, internal headers and those of the connection.
+ * Leaves out credentials, every other header that holds a key in any spelling, internal headers and those of the connection.
  */
 export function createOnwardHeaders(headers: IncomingHttpHeaders, key: string | undefined): HeaderMap {
     const named = new Set(String(headers.connection ?? "").toLowerCase().split(",").map(name => name.trim()));
@@ -38,7 +25,7 @@
         if (name === DEADLINE_HEADER || name.startsWith(INTERNAL_HEADER_PREFIX)) {
             continue;
         }
-        if (key !== undefined && [value].flat().some(text => containsKey(text, key))) {
+        if ([name, value].flat().some(text => containsAccessKey(text, key))) {
             continue;
         }
         onward[name] = value;
--- /dev/null
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -0,0 +1,279 @@
+import { create } from "@bufbuild/protobuf";
+import { Code, ConnectError, createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { ControlBatchSchema, ControlService } from "@radishrouter/protocol";
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import { after, before, describe, test } from "node:test";
+import { request } from "undici";
+import { ports } from "../fleet/addresses.js";
+import { createExampleConfiguration } from "../fleet/example-configuration.js";
+import { Fleet, waitFor } from "../fleet/fleet.js";
+import { sendRaw } from "./raw-http.js";
+
+const example = createExampleConfiguration({
+    organisations: { archive: { rate: 2000, burst: 2000 } },
+    services: { catalogue: {}, items: {} },
+    failureDomains: { "khomas-a": { region: "khomas", seats: 2 } },
+});
+const key = example.keys["archive"]!;
+const limits = {
+    bodyBytes: 2_000,
+    replayBytes: 1_000,
+    headersTimeoutMs: 800,
+    requestTimeoutMs: 1_600,
+    connectionsPerAddress: 40,
+    requestsPerCaller: 6,
+};
+const place = { failureDomain: "khomas-a", region: "khomas", limits };
+
+describe("hostile callers", () => {
+    let fleet: Fleet;
+    let address: string;
+
+    before(async () => {
+        fleet = await Fleet.create({
+            configuration: example.configuration,
+            hosts: [
+                { ...place, name: "catalogue-1", service: "catalogue", seat: 0 },
+                { ...place, name: "items-1", service: "items", seat: 1 },
+            ],
+        });
+        address = fleet.host("catalogue-1").address;
+        for (const host of ["catalogue-1", "items-1"]) {
+            await waitFor(() => serves(host), `${host} serves the organisation`);
+        }
+    });
+
+    after(() => fleet.stop());
+
+    async function serves(host: string): Promise<boolean> {
+        const headers = { authorization: `Bearer ${key}` };
+        const answer = await request(`${fleet.callerUrl(host)}/catalogue/read/innocent`, { headers, reset: true });
+        await answer.body.dump();
+        return answer.statusCode === 200;
+    }
+
+    function send(text: string) {
+        return sendRaw(address, ports.callers, text, received => received.includes('"execution"'));
+    }
+
+    function problemOf(body: string): { code: number; execution: string; } {
+        return JSON.parse(body.slice(body.indexOf("{"))) as { code: number; execution: string; };
+    }
+
+    const head = `Host: a\r\nAuthorization: Bearer ${key}\r\n`;
+    const read = `GET /catalogue/read/hostile HTTP/1.1\r\n${head}`;
+    const book = `POST /catalogue/book/hostile HTTP/1.1\r\n${head}`;
+    const malformed: { what: string; text: string; code: number; status?: number; }[] = [
+        {
+            what: "length and chunks",
+            text: `${book}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+            code: 1001,
+        },
+        { what: "two lengths", text: `${book}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`, code: 1001 },
+        { what: "two equal lengths", text: `${book}Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc`, code: 1001 },
+        { what: "a list of lengths", text: `${book}Content-Length: 3, 3\r\n\r\nabc`, code: 1001 },
+        { what: "a signed length", text: `${book}Content-Length: +3\r\n\r\nabc`, code: 1001 },
+        {
+            what: "two codings",
+            text: `${book}Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n`,
+            code: 1001,
+        },
+        { what: "an unknown coding", text: `${book}Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n`, code: 1001 },
+        { what: "a blank before the colon", text: `${book}Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n`, code: 1001 },
+        { what: "a damaged chunk", text: `${book}Transfer-Encoding: chunked\r\n\r\nzz\r\n`, code: 1001 },
+        { what: "a folded header", text: `${read}X-A: 1\r\n  folded\r\n\r\n`, code: 1001 },
+        { what: "a bare line feed", text: `${read}X-A: 1\nX-B: 1\r\n\r\n`, code: 1001 },
+        { what: "a bare carriage return", text: `${read}X-A: 1\rX-B: 1\r\n\r\n`, code: 1001 },
+        { what: "a NUL in a header", text: `${read}X-A: a\0b\r\n\r\n`, code: 1001 },
+        { what: "two hosts", text: `${read}Host: b\r\n\r\n`, code: 1001 },
+        { what: "no host", text: `GET /catalogue/open/1 HTTP/1.1\r\n\r\n`, code: 1001 },
+        { what: "two keys", text: `${read}Authorization: Bearer ${key}\r\n\r\n`, code: 1001 },
+        { what: "a tunnel", text: `CONNECT items:80 HTTP/1.1\r\nHost: a\r\n\r\n`, code: 1001 },
+        { what: "another protocol", text: "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", code: 1001 },
+        { what: "no HTTP", text: "\x16\x03\x01\x02\x00\x01", code: 1001 },
+        { what: "large headers", text: `${read}X-A: ${"a".repeat(20_000)}\r\n\r\n`, code: 1015, status: 431 },
+        { what: "dot segments", text: `GET /catalogue/open/../book/1 HTTP/1.1\r\n${head}\r\n`, code: 1001 },
+        { what: "encoded dot segments", text: `GET /catalogue/open/%2e%2E/book/1 HTTP/1.1\r\n${head}\r\n`, code: 1001 },
+        { what: "an encoded slash", text: `GET /catalogue/open/..%2fbook/1 HTTP/1.1\r\n${head}\r\n`, code: 1001 },
+        { what: "a target with a host", text: `GET http://a/catalogue/open/1 HTTP/1.1\r\n${head}\r\n`, code: 1001 },
+        { what: "a key in the query", text: `GET /catalogue/read/1?k=${key} HTTP/1.1\r\n${head}\r\n`, code: 1001 },
+        {
+            what: "an encoded key in the path",
+            text: `GET /catalogue/read/${key.replace("_", "%5f")} HTTP/1.1\r\n${head}\r\n`,
+            code: 1001,
+        },
+        { what: "a forged handle", text: `${read}Radishrouter-Handle: x\r\n\r\n`, code: 1008 },
+        { what: "a forged organisation", text: `${read}RADISHROUTER_ORGANISATION: mission\r\n\r\n`, code: 1008 },
+        {
+            what: "a body that is too large",
+            text: `${book}Content-Length: 5000\r\n\r\n${"a".repeat(5000)}`,
+            code: 1006,
+            status: 413,
+        },
+        {
+            what: "a key of another scheme",
+            text: `GET /catalogue/read/1 HTTP/1.1\r\nHost: a\r\nAuthorization: Basic ${key}\r\n\r\n`,
+            code: 1002,
+            status: 401,
+        },
+        { what: "the operators' listener", text: `GET /report HTTP/1.1\r\n${head}\r\n`, code: 1004, status: 404 },
+        {
+            what: "the control stream",
+            text: `POST /radishrouter.v1.ControlService/Exchange HTTP/1.1\r\n${head}Content-Length: 0\r\n\r\n`,
+            code: 1004,
+            status: 404,
+        },
+        {
+            what: "an unknown method",
+            text: `PROPFIND /catalogue/read/1 HTTP/1.1\r\n${head}\r\n`,
+            code: 1004,
+            status: 404,
+        },
+    ];
+    for (const { what, text, code, status } of malformed) {
+        test(`get a numbered refusal for ${what}`, async () => {
+            const answer = await send(text);
+            assert.match(answer.text, /content-type: application\/problem\+json/i);
+            const problem = problemOf(answer.body);
+            assert.deepEqual(
+                { status: answer.status, code: problem.code, execution: problem.execution },
+                { status: status ?? 400, code, execution: "not-run" },
+            );
+            assert.ok(await serves("catalogue-1"), "another caller is served");
+        });
+    }
+
+    test("never make a backend server run what was refused", () => {
+        assert.ok(!fleet.runRecords().some(run => run.path.includes("hostile")));
+    });
+
+    test("are cut off when they send too slowly, in headers and in bodies", async () => {
+        for (const text of [read, `${book}Content-Length: 100\r\n\r\nslow`]) {
+            const answer = await send(text);
+            assert.equal(answer.status, 408);
+            assert.deepEqual({ ...problemOf(answer.body) }.code, 1007);
+        }
+        const silent = await sendRaw(address, ports.callers, "");
+        assert.equal(silent.status, 408);
+        assert.ok(!fleet.runRecords().some(run => run.path.includes("hostile")));
+    });
+
+    test("are told that a request may have run when its long body stops", async () => {
+        const answer = await send(`${book}Content-Length: 1999\r\n\r\n${"a".repeat(1500)}`);
+        assert.equal(problemOf(answer.body).execution, "unknown");
+    });
+
+    test("hold a bounded number of connections and requests open", async () => {
+        const sockets: Socket[] = [];
+        let refused = 0;
+        for (let index = 0; index < limits.connectionsPerAddress + 5; index++) {
+            const socket = connect({ port: ports.callers, host: address, localAddress: fleet.addresses.client });
+            socket.on("data", chunk => (refused += chunk.includes('"code":1010') ? 1 : 0));
+            socket.on("error", () => undefined);
+            sockets.push(socket);
+        }
+        await waitFor(() => refused === 5, "the connections above the limit are refused");
+        assert.ok(await serves("catalogue-1"), "callers at other addresses are served");
+        sockets.forEach(socket => socket.destroy());
+        await fleet.setBehaviour("catalogue-1", { mode: "hang" });
+        const headers = { authorization: `Bearer ${key}`, "deadline-ms": "4000" };
+        const answers = Array.from({ length: limits.requestsPerCaller + 3 }, async () => {
+            const answer = await request(`${fleet.callerUrl("catalogue-1")}/catalogue/read/held`, { headers });
+            return (await answer.body.json() as { code: number; }).code;
+        });
+        const codes = await Promise.all(answers);
+        assert.equal(codes.filter(code => code === 1010).length, 3);
+        await fleet.setBehaviour("catalogue-1", { mode: "normal" });
+        await waitFor(() => serves("catalogue-1"), "the caller is served again");
+    });
+
+    test("cannot make a key reach a backend server in any spelling", async () => {
+        const encoded = [...key].map(character => `%${character.charCodeAt(0).toString(16)}`).join("");
+        const spellings: Record<string, string> = {
+            "Authorization": `Bearer ${key}`,
+            "Proxy-Authorization": `Bearer ${key}`,
+            "X-Api-Key": key,
+            "X-Quoted": `token="${key}"`,
+            "X-Lower": key.toLowerCase(),
+            "X-Encoded": encoded,
+            "X-Encoded-Twice": encoded.replaceAll("%", "%25"),
+            "X-Broken-Encoding": `%zz%${encoded}`,
+            "X-Basic": `Basic ${Buffer.from(`user:${key}`).toString("base64")}`,
+            "Cookie": `session=1; key=${key}`,
+            "Referer": `http://a/?key=${key}`,
+            [key]: "1",
+        };
+        const lines = Object.entries(spellings).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        const body = `Transfer-Encoding: chunked\r\nTrailer: x-late\r\n\r\n3\r\nabc\r\n0\r\nX-Late: ${key}\r\n\r\n`;
+        for (const host of ["catalogue-1", "items-1"]) {
+            for (const start of ["POST /catalogue/book/spelled", "POST /items/book/spelled"]) {
+                const text = `${start} HTTP/1.1\r\nHost: a\r\nX-Kept: yes\r\nX-Request-Id: spelled\r\n${lines}${body}`;
+                const answer = await sendRaw(fleet.host(host).address, ports.callers, text, got => got.includes("}"));
+                assert.equal(answer.status, 200, answer.text);
+            }
+        }
+        const runs = fleet.runRecords().filter(run => run.requestId === "spelled" && run.event === "start");
+        assert.equal(runs.length, 4);
+        for (const { headers } of runs) {
+            assert.equal(headers["x-kept"], "yes");
+            const own = new Set(["x-kept", "x-request-id", "radishrouter-handle"]);
+            const others = Object.keys(headers).filter(name => !own.has(name));
+            const allowed = ["connection", "content-length", "content-type", "host", "transfer-encoding", "x-late"];
+            assert.deepEqual(others.filter(name => !allowed.includes(name)), []);
+        }
+        assert.ok(!JSON.stringify(runs).toLowerCase().includes(key.slice(3, 12).toLowerCase()));
+    });
+
+    test("cannot pass for a node on the forward listener", async () => {
+        const url = `http://${address}:${ports.forward}/catalogue/read/forged`;
+        const forged: Record<string, string> = {
+            "radishrouter-sender": "items-1",
+            "radishrouter-organisation": "archive",
+            "radishrouter-importance": "critical",
+            "radishrouter-remaining-ms": "1000",
+            "radishrouter-retries": "1",
+        };
+        const otherSecret = "0".repeat(64);
+        for (const proof of [{}, { "radishrouter-proof": otherSecret }, { "radishrouter-proof": "zz" }]) {
+            const answer = await request(url, { headers: { ...forged, ...proof } });
+            const problem = await answer.body.json() as { code: number; };
+            assert.deepEqual([answer.statusCode, problem.code], [403, 1012]);
+            assert.equal(answer.headers["radishrouter-load"], undefined);
+        }
+        assert.ok(!fleet.runRecords().some(run => run.path.includes("forged")));
+    });
+
+    test("cannot pass for a node on the control stream", async () => {
+        const baseUrl = `http://${address}:${ports.control}`;
+        const client = createClient(ControlService, createConnectTransport({ baseUrl, httpVersion: "2" }));
+        async function* forgedBatches() {
+            yield create(ControlBatchSchema, { sender: "items-1", incarnation: 1n, proof: new Uint8Array(32) });
+        }
+        const controller = new AbortController();
+        await assert.rejects(async () => {
+            for await (const _batch of client.exchange(forgedBatches(), { signal: controller.signal })) {
+                // A forged stream gets no batch.
+            }
+        }, error => error instanceof ConnectError && error.code === Code.PermissionDenied);
+        controller.abort();
+    });
+
+    test("are all accounted for, without their keys", async () => {
+        await waitFor(async () => (await fleet.report("catalogue-1")).openRequests === 0, "no request is open");
+        const report = await fleet.report("catalogue-1");
+        for (const outcomes of Object.values(report.organisations)) {
+            const ended = [outcomes.refused, outcomes.failed, outcomes.unknown]
+                .flatMap(counters => Object.values(counters))
+                .reduce((sum, count) => sum + count, outcomes.completed);
+            assert.equal(ended, outcomes.offered);
+        }
+        for (const path of ["report", "audit", "status", "configuration"]) {
+            const answer = await request(`${fleet.operatorsUrl("catalogue-1")}/${path}`);
+            const text = await answer.body.text();
+            assert.ok(!text.includes(key), path);
+        }
+    });
+});
