Hold each rate over the fleet by conserved shares

Cause: static shares refuse requests within the rate when an organisation enters through few nodes, and no limiter on the live list holds the rate when lists differ.

Change: seats lease their shares to a collector in their failure domain, collectors lend each other by demand, entry nodes spend small expiring grants.

--- a/packages/core/src/process/operator-interface.ts
+++ b/packages/core/src/process/operator-interface.ts
@@ -13,6 +13,8 @@
     state: z.enum(["running", "stopping"]),
     configurationVersion: z.number().optional(),
     livePeers: z.array(z.string()),
+    /** Time until the node's seat mints its share of the rates; 0 when it does. */
+    rateReadyInMs: z.number(),
     load: z.object({ inFlight: z.number(), queued: z.number(), limit: z.number(), admittedRank: z.number() }),
 });
 
--- a/packages/core/src/process/outcome-ledger.ts
+++ b/packages/core/src/process/outcome-ledger.ts
@@ -18,7 +18,10 @@
     failed: z.record(z.string(), z.number()),
     /** Ended without knowing whether it ran, by result code. */
     unknown: z.record(z.string(), z.number()),
-    /** Refused because of the rate although the organisation was within its rate over the last second here. */
+    /**
+     * Refused because of the rate although nothing known at the node showed clearly more demand than the rate: neither its own
+     * count of the last second nor what the collector of its failure domain said. An upper bound.
+     */
     refusedWithinRate: z.number(),
 });
 
@@ -44,6 +47,8 @@
 export interface OpenEntry {
     /** Sets the organisation once the key was recognised; before that the request counts for none. */
     assign(organisation: string): void;
+    /** Counts that the request is refused by the rate without evidence that the organisation is over it. */
+    noteWithinRate(): void;
     /** Counts the end of the request; only the first call counts. */
     close(outcome: Outcome): void;
 }
@@ -76,6 +81,9 @@
                 organisation = name;
                 this.outcomesOf(organisation).offered++;
             },
+            noteWithinRate: () => {
+                this.outcomesOf(organisation).refusedWithinRate++;
+            },
             close: outcome => {
                 if (!closed) {
                     closed = true;
--- /dev/null
+++ b/packages/core/src/process/rate-share/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Rates over the fleet by shares that are conserved.
+ */
+export { LeasedShareLimiter } from "./leased-share-limiter.js";
+export type { LeasedShareLimiterOptions } from "./leased-share-limiter.js";
+export type { Seat } from "./seat-guard.js";
+export type { ShareHost } from "./share-range.js";
+export { defaultShareTimings } from "./share-timings.js";
+export type { ShareTimings } from "./share-timings.js";
--- /dev/null
+++ b/packages/core/src/test/share-simulation.ts
@@ -0,0 +1,302 @@
+/**
+ * Many limiters in one process, with clocks that drift and messages that are lost, doubled or late.
+ */
+import { AuditTrail, ConfigurationVersion, defaultShareTimings, LeasedShareLimiter } from "../index.js";
+import type { Clock, Configuration, ReceivedMessage, ShareHost, ShareTimings, Timer } from "../index.js";
+
+interface SimulatedEvent {
+    readonly timeMs: number;
+    readonly order: number;
+    readonly run: () => void;
+}
+
+/** How messages fare while a fault is on. */
+export interface MessageFault {
+    readonly lost: number;
+    readonly doubled: number;
+    readonly maximumDelayMs: number;
+}
+
+/** Messages arrive after the batching interval of the control streams. */
+export const noFault: MessageFault = { lost: 0, doubled: 0, maximumDelayMs: 120 };
+
+/** Numbers that look random and are the same for the same seed. */
+export function createRandom(seed: number): () => number {
+    let state = seed >>> 0;
+    return () => {
+        state = (state + 0x6d2b79f5) >>> 0;
+        let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+        mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+        return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
+    };
+}
+
+/** One process of a node. */
+class SimulatedProcess implements Clock {
+    readonly listeners = new Set<(received: ReceivedMessage) => void>();
+    readonly limiter: LeasedShareLimiter;
+    readonly audit = AuditTrail.create();
+    alive = true;
+    private pausedUntilMs = 0;
+    /** Time for which the whole host slept: the monotonic clock stood still. */
+    private sleptMs = 0;
+
+    constructor(private readonly fleet: ShareSimulation, readonly node: SimulatedNode, readonly incarnation: bigint) {
+        this.limiter = LeasedShareLimiter.create({
+            clock: this,
+            transport: {
+                send: (host, body) =>
+                    fleet.deliver(node, host, {
+                        sender: node.name,
+                        incarnation,
+                        message: { body } as ReceivedMessage["message"],
+                    }),
+                subscribe: listener => {
+                    this.listeners.add(listener);
+                    return () => this.listeners.delete(listener);
+                },
+            },
+            audit: this.audit,
+            ownName: node.name,
+            incarnation,
+            seat: { failureDomain: node.failureDomain, number: node.seat },
+            liveHosts: () => node.list,
+            wallClockMs: () => node.offsetMs + fleet.nowMs,
+            timings: fleet.timings,
+        });
+        this.limiter.setConfiguration(node.version);
+    }
+
+    nowMs(): number {
+        return this.node.offsetMs + (this.fleet.nowMs - this.sleptMs) * (1 + this.node.drift);
+    }
+
+    setTimer(delayMs: number, callback: () => void): Timer {
+        let cancelled = false;
+        this.fleet.schedule(delayMs / (1 + this.node.drift), () => {
+            if (!cancelled) {
+                this.run(callback);
+            }
+        });
+        return { cancel: () => (cancelled = true) };
+    }
+
+    /** Runs a callback unless the process has ended; after the pause when it is paused. */
+    run(callback: () => void): void {
+        if (!this.alive) {
+            return;
+        }
+        if (this.fleet.nowMs < this.pausedUntilMs) {
+            this.fleet.schedule(this.pausedUntilMs - this.fleet.nowMs, () => this.run(callback));
+            return;
+        }
+        callback();
+    }
+
+    pause(durationMs: number, options: { sleep: boolean; }): void {
+        this.pausedUntilMs = Math.max(this.pausedUntilMs, this.fleet.nowMs + durationMs);
+        if (options.sleep) {
+            this.sleptMs += durationMs;
+        }
+    }
+}
+
+/** One host with its seat; its process can be replaced. */
+export class SimulatedNode {
+    process!: SimulatedProcess;
+    list: readonly ShareHost[] = [];
+
+    constructor(
+        readonly name: string,
+        readonly failureDomain: string,
+        readonly seat: number,
+        readonly drift: number,
+        readonly offsetMs: number,
+        public version: ConfigurationVersion,
+    ) {}
+}
+
+/** Size and settings of a simulated fleet. */
+export interface ShareSimulationOptions {
+    readonly configuration: Configuration;
+    readonly seed: number;
+    readonly timings?: ShareTimings;
+    /** Whether clocks differ and drift up to the bound. */
+    readonly drift?: boolean;
+}
+
+/** One admission. */
+export interface Admission {
+    readonly organisation: string;
+    readonly node: string;
+    readonly timeMs: number;
+}
+
+/** A fleet with one node on every seat. */
+export class ShareSimulation {
+    nowMs = 0;
+    readonly nodes: SimulatedNode[] = [];
+    readonly admissions: Admission[] = [];
+    readonly offered = new Map<string, number>();
+    readonly timings: ShareTimings;
+    messages = 0;
+    withinRateRefusals = 0;
+    fault = noFault;
+    private readonly random: () => number;
+    private readonly cuts = new Set<(from: SimulatedNode, to: SimulatedNode) => boolean>();
+    private events: SimulatedEvent[] = [];
+    private nextOrder = 0;
+    private nextIncarnation = 1n;
+    private openRequests = 0;
+    private readonly lastArrivalMs = new Map<string, number>();
+
+    constructor(options: ShareSimulationOptions) {
+        this.random = createRandom(options.seed);
+        this.timings = options.timings ?? defaultShareTimings;
+        const version = ConfigurationVersion.create(options.configuration);
+        const drift = options.drift ? defaultShareTimings.driftFraction : 0;
+        for (const [failureDomain, { seats }] of Object.entries(options.configuration.failureDomains)) {
+            for (let seat = 0; seat < seats; seat++) {
+                const offsetMs = options.drift ? this.random() * 1e6 : 0;
+                const ownDrift = (this.random() < 0.5 ? -1 : 1) * drift;
+                const name = `${failureDomain}-${seat}`;
+                this.nodes.push(new SimulatedNode(name, failureDomain, seat, ownDrift, offsetMs, version));
+            }
+        }
+        const list = this.nodes.map(({ name, failureDomain }) => ({ name, failureDomain }));
+        for (const node of this.nodes) {
+            node.list = list;
+            node.process = new SimulatedProcess(this, node, this.nextIncarnation++);
+        }
+    }
+
+    schedule(delayMs: number, run: () => void): void {
+        const event = { timeMs: this.nowMs + Math.max(0, delayMs), order: this.nextOrder++, run };
+        let low = 0;
+        let high = this.events.length;
+        while (low < high) {
+            const middle = (low + high) >>> 1;
+            if (this.events[middle]!.timeMs > event.timeMs) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
+            }
+        }
+        this.events.splice(low, 0, event);
+    }
+
+    /** Runs until a time; decisions of limiters are recorded at the time at which they were made. */
+    async runUntil(endMs: number): Promise<void> {
+        for (let next = this.events.at(-1); next && next.timeMs <= endMs; next = this.events.at(-1)) {
+            this.events.pop();
+            this.nowMs = next.timeMs;
+            next.run();
+            if (this.openRequests > 0) {
+                await new Promise(resolve => setImmediate(resolve));
+            }
+        }
+        this.nowMs = endMs;
+    }
+
+    deliver(from: SimulatedNode, to: string, received: ReceivedMessage): void {
+        const target = this.nodes.find(node => node.name === to);
+        this.messages++;
+        if (!target || target === from || this.random() < this.fault.lost) {
+            return;
+        }
+        const copies = this.random() < this.fault.doubled ? 2 : 1;
+        for (let copy = 0; copy < copies; copy++) {
+            this.schedule(this.delayOf(from, target), () => {
+                if ([...this.cuts].some(isCut => isCut(from, target))) {
+                    return;
+                }
+                const process = target.process;
+                process.run(() => process.listeners.forEach(listener => listener(received)));
+            });
+        }
+    }
+
+    /** Delay of one message; without a fault messages between two nodes stay in order, as on a stream. */
+    private delayOf(from: SimulatedNode, to: SimulatedNode): number {
+        const delayMs = 2 + this.random() * this.fault.maximumDelayMs;
+        if (this.fault !== noFault) {
+            return delayMs;
+        }
+        const key = `${from.name}/${to.name}`;
+        const arrivalMs = Math.max(this.nowMs + delayMs, this.lastArrivalMs.get(key) ?? 0);
+        this.lastArrivalMs.set(key, arrivalMs);
+        return arrivalMs - this.nowMs;
+    }
+
+    cut(isCut: (from: SimulatedNode, to: SimulatedNode) => boolean, durationMs: number): void {
+        this.cuts.add(isCut);
+        this.schedule(durationMs, () => this.cuts.delete(isCut));
+    }
+
+    kill(node: SimulatedNode): void {
+        node.process.alive = false;
+    }
+
+    start(node: SimulatedNode): void {
+        this.kill(node);
+        node.process = new SimulatedProcess(this, node, this.nextIncarnation++);
+    }
+
+    setConfiguration(node: SimulatedNode, configuration: Configuration): void {
+        node.version = ConfigurationVersion.create(configuration);
+        const process = node.process;
+        process.run(() => process.limiter.setConfiguration(node.version));
+    }
+
+    /** One request of an organisation at a node. */
+    request(node: SimulatedNode, organisation: string): void {
+        this.offered.set(organisation, (this.offered.get(organisation) ?? 0) + 1);
+        const process = node.process;
+        process.run(() => {
+            this.openRequests++;
+            void process.limiter.acquire(organisation).then(decision => {
+                this.openRequests--;
+                if (decision.kind === "admitted") {
+                    this.admissions.push({ organisation, node: node.name, timeMs: this.nowMs });
+                }
+                else if (decision.withinRate) {
+                    this.withinRateRefusals++;
+                }
+            });
+        });
+    }
+
+    /** Sends requests at a rate until a time, at intervals that vary. */
+    load(node: SimulatedNode, organisation: string, perSecond: number, untilMs: number): void {
+        const next = () => {
+            if (this.nowMs < untilMs) {
+                this.request(node, organisation);
+                this.schedule((0.5 + this.random()) * 1000 / perSecond, next);
+            }
+        };
+        this.schedule(this.random() * 1000 / perSecond, next);
+    }
+
+    admittedBetween(organisation: string, fromMs: number, toMs: number): number {
+        return this.admissions.filter(admission =>
+            admission.organisation === organisation && admission.timeMs >= fromMs && admission.timeMs < toMs
+        ).length;
+    }
+
+    /** Largest excess over rate·t + burst of an organisation, over all intervals. */
+    excessOf(organisation: string, ratePerSecond: number, burst: number): number {
+        const times = this.admissions
+            .filter(admission => admission.organisation === organisation)
+            .map(admission => admission.timeMs)
+            .sort((left, right) => left - right);
+        let lowest = Infinity;
+        let excess = -burst;
+        for (const [index, timeMs] of times.entries()) {
+            const accrued = ratePerSecond * timeMs / 1000;
+            lowest = Math.min(lowest, index - accrued);
+            excess = Math.max(excess, index + 1 - accrued - lowest - burst);
+        }
+        return excess;
+    }
+}
--- a/packages/core/src/version/configuration-version.ts
+++ b/packages/core/src/version/configuration-version.ts
@@ -4,10 +4,11 @@
 import { KeyIndex } from "./access-key.js";
 import type { Configuration } from "./configuration.js";
 import { RouteIndex } from "./route-index.js";
+import { shareCountOf } from "./share-rule.js";
 
 /** What is looked up for requests in one configuration version. */
 export class ConfigurationVersion {
-    /** Seats of all failure domains together. */
+    /** Number of shares into which every rate is divided, one for each seat. */
     readonly totalSeats: number;
 
     private constructor(
@@ -15,7 +16,7 @@
         readonly keys: KeyIndex,
         readonly routes: RouteIndex,
     ) {
-        this.totalSeats = Object.values(configuration.failureDomains).reduce((sum, { seats }) => sum + seats, 0);
+        this.totalSeats = shareCountOf(configuration);
     }
 
     static create(configuration: Configuration): ConfigurationVersion {
--- a/packages/core/src/version/configuration.ts
+++ b/packages/core/src/version/configuration.ts
@@ -71,7 +71,14 @@
     organisations: z.record(nameSchema, organisationSchema),
     services: z.record(nameSchema, serviceSchema),
     failureDomains: z.record(nameSchema, failureDomainSchema),
-});
+    /** Shares into which each rate is divided, at least one for each seat; the number of seats when absent. */
+    shareCount: z.number().int().positive().optional(),
+}).refine(
+    ({ shareCount, failureDomains }) =>
+        shareCount === undefined ||
+        shareCount >= Object.values(failureDomains).reduce((sum, { seats }) => sum + seats, 0),
+    { path: ["shareCount"], message: "must be at least the number of seats of all failure domains" },
+);
 
 /** One file that stands beside a service's code; compiled files make the configuration. */
 export const sourceFileSchema = z.strictObject({
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -61,7 +61,7 @@
     try {
         const admission = admit(parts, request);
         entry.assign(admission.identity?.organisation ?? OPEN_ORGANISATION);
-        await acquireRate(parts, admission);
+        await acquireRate(parts, admission, entry);
         await run(parts, request, response, admission, entry);
     }
     catch (error) {
@@ -127,12 +127,15 @@
     }
 }
 
-async function acquireRate(parts: CallerListenerParts, admission: Admission): Promise<void> {
+async function acquireRate(parts: CallerListenerParts, admission: Admission, entry: OpenEntry): Promise<void> {
     if (!admission.identity) {
         return;
     }
     const decision = await parts.rateLimiter.acquire(admission.identity.organisation);
     if (decision.kind === "refused") {
+        if (decision.withinRate) {
+            entry.noteWithinRate();
+        }
         throw RequestError.create("rate-exceeded", { retryAfterMs: decision.retryAfterMs });
     }
 }
--- /dev/null
+++ b/packages/daemon/src/process/node-rate-limiter.ts
@@ -0,0 +1,43 @@
+/**
+ * The rate limiter of a node.
+ */
+import { LeasedShareLimiter, StaticShareLimiter } from "@radishrouter/core";
+import type { AuditTrail, Clock, ControlTransport, MembershipView, RateLimiter, ShareHost } from "@radishrouter/core";
+import type { Settings } from "./settings.js";
+
+/** Parts that a limiter works with. */
+export interface NodeRateLimiterParts {
+    readonly settings: Settings;
+    readonly clock: Clock;
+    readonly transport: ControlTransport;
+    readonly audit: AuditTrail;
+    readonly incarnation: bigint;
+    readonly membership: MembershipView;
+}
+
+/** Creates the limiter that the settings name. */
+export function createRateLimiter(parts: NodeRateLimiterParts): RateLimiter {
+    const { settings, clock, transport, audit, incarnation, membership } = parts;
+    switch (settings.rateLimiter) {
+        case "static":
+            return StaticShareLimiter.create(clock);
+        case "leased":
+            return LeasedShareLimiter.create({
+                clock,
+                transport,
+                audit,
+                ownName: settings.host,
+                incarnation,
+                seat: { failureDomain: settings.failureDomain, number: settings.seat },
+                liveHosts: () => listLiveHosts(settings, membership),
+                wallClockMs: () => Date.now(),
+            });
+    }
+}
+
+/** This host and its live peers, in the order of their names. */
+function listLiveHosts(settings: Settings, membership: MembershipView): ShareHost[] {
+    const hosts = membership.livePeers().map(({ name, failureDomain }) => ({ name, failureDomain }));
+    hosts.push({ name: settings.host, failureDomain: settings.failureDomain });
+    return hosts.sort((left, right) => left.name < right.name ? -1 : 1);
+}
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -10,7 +10,6 @@
     LoadBalancer,
     MembershipView,
     OutcomeLedger,
-    StaticShareLimiter,
     SystemClock,
 } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, NodeStatus, RateLimiter } from "@radishrouter/core";
@@ -27,11 +26,14 @@
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
+import { createRateLimiter } from "./node-rate-limiter.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
 import type { Settings } from "./settings.js";
 
+/** Time for the last control messages to go out at a planned stop. */
+const CONTROL_FLUSH_MS = 150;
 const SLOTS_WITHOUT_CONFIGURATION = 1;
 
 /** The coordination parts of a node, which live as long as its process. */
@@ -84,7 +86,9 @@
     async stop(): Promise<void> {
         this.stopping = true;
         this.parts.audit.record("process-stopping", this.settings.host, "stop requested");
-        const closed = Promise.all(this.servers.map(closeGracefully));
+        this.parts.rateLimiter.close();
+        const flushed = new Promise(resolve => setTimeout(resolve, CONTROL_FLUSH_MS));
+        const closed = Promise.all([flushed, ...this.servers.map(closeGracefully)]);
         const limit = setTimeout(
             () => this.servers.forEach(server => server.closeAllConnections()),
             this.settings.limits.shutdownMs,
@@ -108,6 +112,7 @@
             state: this.stopping ? "stopping" : "running",
             configurationVersion: this.parts.store.current?.configuration.version,
             livePeers: this.parts.membership.livePeers().map(peer => peer.name),
+            rateReadyInMs: Math.min(Number.MAX_SAFE_INTEGER, this.parts.rateLimiter.readyInMs()),
             load: this.parts.limiter.load(),
         };
     }
@@ -155,7 +160,15 @@
     const handles = HandleTable.create();
     const proof = DeploymentProof.create(settings.deploymentSecret);
     const membership = MembershipView.create({ ownName: settings.host });
+    const incarnation = BigInt(Date.now());
     const identity = { ownName: settings.host, ownAddress: settings.address };
+    const channels = ControlChannels.create({
+        clock,
+        proof,
+        ...identity,
+        incarnation,
+        findHost: name => membership.find(name),
+    });
     const forwarder = PeerForwarder.create({ clock, proof, ...identity });
     const pool = createPool({
         ...settings.backendServer,
@@ -179,16 +192,10 @@
         ledger: OutcomeLedger.create(),
         store: ConfigurationStore.create(audit),
         membership,
-        rateLimiter: StaticShareLimiter.create(clock),
+        rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
-        channels: ControlChannels.create({
-            clock,
-            proof,
-            ...identity,
-            incarnation: BigInt(Date.now()),
-            findHost: name => membership.find(name),
-        }),
+        channels,
         forwarder,
         dispatcher,
         runner,
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -33,6 +33,8 @@
         port: portSchema,
     }),
     platform: z.strictObject({ url: z.url({ protocol: /^https?$/ }) }),
+    /** `static` gives each seat a fixed part of every rate; all nodes of a deployment have to use the same. */
+    rateLimiter: z.enum(["leased", "static"]).default("leased"),
     /** Secret that all nodes of the deployment share; proves that a peer belongs to it. */
     deploymentSecret: z.string().min(16),
     statsd: z.strictObject({ address: z.string().min(1), port: portSchema }).optional(),
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -37,6 +37,8 @@
     readonly proxied?: boolean;
     /** Distinguishes fleets of one process. */
     readonly addressSeed?: number;
+    /** Rate limiter of the nodes; see the settings. */
+    readonly rateLimiter?: "leased" | "static";
     /** Environment of the nodes, such as `DEBUG`. */
     readonly environment?: Record<string, string>;
 }
@@ -250,8 +252,9 @@
     async waitForConfiguration(name: string): Promise<void> {
         await waitFor(async () => {
             const status = await this.status(name);
-            return status.configurationVersion !== undefined && status.livePeers.length >= this.hosts.size - 1;
-        }, `${name} has its configuration and peers`);
+            return status.configurationVersion !== undefined && status.livePeers.length >= this.hosts.size - 1 &&
+                status.rateReadyInMs === 0;
+        }, `${name} has its configuration and peers and mints for its seat`);
     }
 
     private async startProxy(): Promise<void> {
@@ -305,6 +308,7 @@
             platform: { url: `http://${platformAddress}:${ports.platform}` },
             deploymentSecret,
             limits: specification.limits,
+            rateLimiter: this.options.rateLimiter,
         };
         writeFileSync(settingsFile, JSON.stringify(settings));
         this.hosts.set(specification.name, {
