--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -80,7 +80,7 @@
         const admission = admit(parts, request);
         entry.assign(admission.identity?.organisation ?? OPEN_ORGANISATION);
         closeRequest = guard.openRequest(admission.identity?.keyId ?? request.socket.remoteAddress ?? "");
-        await acquireRate(parts, admission);
+        await acquireRate(parts, admission, entry);
         await run(parts, request, response, { ...admission, guard }, entry);
     }
     catch (error) {
@@ -131,12 +131,15 @@
     }
 }
 
-async function acquireRate(parts: CallerListenerParts, admission: Admission): Promise<void> {
+async function acquireRate(parts: CallerListenerParts, admission: Admission, entry: OpenEntry): Promise<void> {
     if (!admission.identity) {
         return;
     }
     const decision = await parts.rateLimiter.acquire(admission.identity.organisation);
     if (decision.kind === "refused") {
+        if (decision.withinRate) {
+            entry.noteWithinRate();
+        }
         throw RequestError.create("rate-exceeded", { retryAfterMs: decision.retryAfterMs });
     }
 }
