--- a/packages/cli/src/report/fleet-report.ts
+++ b/packages/cli/src/report/fleet-report.ts
@@ -37,7 +37,7 @@
 export type NodeCounters = z.infer<typeof nodeCountersSchema>;
 
 /** An earlier report from which a new one counts on. */
-export const earlierReportSchema = z.object({ nodes: z.array(nodeCountersSchema) });
+export const earlierReportSchema = z.object({ nodes: z.array(nodeCountersSchema).readonly() });
 
 /** Who got what, and what is missing from the answer. */
 export interface FleetReport {
