--- a/packages/core/src/version/request-target.ts
+++ b/packages/core/src/version/request-target.ts
@@ -41,7 +41,7 @@
     if (serviceName === undefined || serviceName === "") {
         return invalid("start the path with the name of a service");
     }
-    if (segments.some(isDotSegment) || segments.slice(0, -1).includes("")) {
+    if ([serviceName, ...segments].some(isDotSegment) || segments.slice(0, -1).includes("")) {
         return invalid("dot segments and empty segments are not allowed in the path");
     }
     return { kind: "valid", serviceName, path: `/${segments.join("/")}`, query: match?.[2] ?? "" };
--- a/packages/daemon/src/request/key-redaction.ts
+++ b/packages/daemon/src/request/key-redaction.ts
@@ -5,6 +5,8 @@
 const MAXIMUM_DECODINGS = 3;
 const keyShape = /rr_[a-z0-9]{8,32}_[a-z0-9_-]{16,128}/i;
 const base64Token = /[a-z0-9+/_-]{40,}/gi;
+/** Characters before a Base64 text that can belong to its first group of four. */
+const alignments = [0, 1, 2, 3];
 const encodedByte = /%[0-9a-f]{2}/gi;
 
 /** Decodes percent-encoding wherever it is well formed, and leaves the rest. */
@@ -33,5 +35,7 @@
 }
 
 function decodeTokens(text: string): string[] {
-    return (text.match(base64Token) ?? []).map(token => Buffer.from(token, "base64").toString("latin1"));
+    return (text.match(base64Token) ?? []).flatMap(token =>
+        alignments.map(start => Buffer.from(token.slice(start), "base64").toString("latin1"))
+    );
 }
