Send metrics to statsd, log refusals, and show both to operators

Cause: the settings named a statsd server that nothing was sent to, and a refusal left no trace in the logs.

A test runs a node with every log on, a stand-in statsd server and callers that send keys in wrong places.

--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -11,6 +11,7 @@
     OutcomeLedger,
     RateLimiter,
 } from "@radishrouter/core";
+import createDebug from "debug";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { RequestDispatcher } from "../process/request-dispatcher.js";
 import type { Settings } from "../process/settings.js";
@@ -44,6 +45,7 @@
     readonly key: string | undefined;
 }
 
+const log = createDebug("radishrouter:refusal");
 const OPEN_ORGANISATION = "(open)";
 const DELAYED_MS = 1;
 /** How often slow senders are looked for. */
@@ -85,6 +87,7 @@
     }
     catch (error) {
         const failure = toRequestError(error);
+        log("%d %s %s", failure.result.code, failure.result.name, failure.execution);
         entry.close(
             failure.execution === "not-run" ?
                 { kind: "refused", code: failure.result.code } :
--- a/packages/daemon/src/connection/operators-listener.ts
+++ b/packages/daemon/src/connection/operators-listener.ts
@@ -12,6 +12,7 @@
 import express from "express";
 import type { Server } from "node:http";
 import { createServer } from "node:http";
+import type { MetricsSnapshot } from "../process/metrics.js";
 
 /** Parts that the listener works with. */
 export interface OperatorsListenerParts {
@@ -20,6 +21,7 @@
     readonly load: () => LocalLoad;
     readonly status: () => NodeStatus;
     readonly version: () => ConfigurationVersion | undefined;
+    readonly metrics: () => MetricsSnapshot;
 }
 
 /** Creates the server for operators. */
@@ -36,6 +38,9 @@
     application.get("/report", (_request, response) => {
         response.json(createReport(parts));
     });
+    application.get("/metrics", (_request, response) => {
+        response.json(parts.metrics());
+    });
     application.get("/configuration", (_request, response) => {
         const version = parts.version();
         response.status(version ? 200 : 503).json(version?.configuration ?? {});
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -26,6 +26,8 @@
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
+import { collectMetrics, MetricsSender } from "./metrics.js";
+import type { MetricsSources } from "./metrics.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
@@ -60,6 +62,7 @@
     private readonly servers: Server[] = [];
     private controlServer: Http2Server | undefined;
     private stopping = false;
+    private metricsSender: MetricsSender | undefined;
 
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
 
@@ -80,6 +83,7 @@
         void platform.watch(CONFIGURATION_KEY, ({ value }) => store.offer(value, "platform"));
         void platform.watch(HOST_LIST_KEY, ({ value }) => this.applyHostList(value));
         await this.startListeners();
+        this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
     /** Refuses new work, lets running requests end, and closes everything. */
@@ -97,6 +101,7 @@
         clearTimeout(limit);
         this.parts.channels.close();
         this.controlServer?.close();
+        await this.metricsSender?.close();
         await this.parts.platform.close();
         await this.parts.forwarder.close();
     }
@@ -117,6 +122,16 @@
         };
     }
 
+    private metricsSources(): MetricsSources {
+        const { ledger, limiter, membership, store } = this.parts;
+        return {
+            ledger,
+            load: () => limiter.load(),
+            livePeers: () => membership.livePeers().length,
+            configurationVersion: () => store.current?.configuration.version,
+        };
+    }
+
     private async startListeners(): Promise<void> {
         const { address, loopbackAddress, ports } = this.settings;
         const isStopping = () => this.stopping;
@@ -127,7 +142,8 @@
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
         await this.open(createBackendServer(shared), ports.backend, loopbackAddress);
-        const operators = createOperatorsServer({ ...shared, status: () => this.status() });
+        const metrics = () => collectMetrics(this.metricsSources());
+        const operators = createOperatorsServer({ ...shared, status: () => this.status(), metrics });
         await this.open(operators, ports.operators, loopbackAddress);
         await this.open(createCallerServer(shared), ports.callers, address);
     }
--- a/packages/testbed/src/fleet/child.ts
+++ b/packages/testbed/src/fleet/child.ts
@@ -9,6 +9,8 @@
 export class Child {
     /** Lines that the process wrote to its output since it started. */
     readonly lines: string[] = [];
+    /** Lines that the process wrote to its error output, such as logs. */
+    readonly errorLines: string[] = [];
     readonly ready: Promise<void>;
     private readonly exited: Promise<void>;
 
@@ -21,7 +23,12 @@
                     resolve();
                 }
             });
-            process.once("exit", code => reject(new Error(`${name} exited with ${code} before it was ready`)));
+            createInterface({ input: process.stderr! }).on("line", line => this.errorLines.push(line));
+            process.once(
+                "exit",
+                code =>
+                    reject(new Error(`${name} exited with ${code} before it was ready: ${this.errorLines.join(" ")}`)),
+            );
         });
         this.ready.catch(() => undefined);
     }
@@ -29,7 +36,7 @@
     /** Starts a Node program. */
     static create(name: string, script: string, args: readonly string[], env: Record<string, string> = {}): Child {
         const child = spawn(process.execPath, [script, ...args], {
-            stdio: ["ignore", "pipe", "inherit"],
+            stdio: ["ignore", "pipe", "pipe"],
             env: { ...process.env, ...env },
         });
         return new Child(child, name);
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -39,6 +39,8 @@
     readonly addressSeed?: number;
     /** Rate limiter of the nodes; see the settings. */
     readonly rateLimiter?: "leased" | "static";
+    /** Further settings of the nodes, such as `statsd`. */
+    readonly settings?: Record<string, unknown>;
     /** Environment of the nodes, such as `DEBUG`. */
     readonly environment?: Record<string, string>;
 }
@@ -325,6 +327,7 @@
             platform: { url: `http://${platformAddress}:${ports.platform}` },
             deploymentSecret,
             limits: specification.limits,
+            ...this.options.settings,
             rateLimiter: this.options.rateLimiter,
         };
         writeFileSync(settingsFile, JSON.stringify(settings));
--- /dev/null
+++ b/packages/testbed/src/test/operators-view.test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { after, before, describe, test } from "node:test";
+import { request } from "undici";
+import { FleetAddresses } from "../fleet/addresses.js";
+import { createExampleConfiguration } from "../fleet/example-configuration.js";
+import { Fleet, waitFor } from "../fleet/fleet.js";
+
+const STATSD_PORT = 8125;
+const addressSeed = process.pid;
+const statsdAddress = FleetAddresses.create(addressSeed).client;
+const example = createExampleConfiguration({
+    organisations: { archive: { rate: 2000, burst: 2000 } },
+    services: { catalogue: {} },
+    failureDomains: { "khomas-a": { region: "khomas", seats: 1 } },
+});
+const key = example.keys["archive"]!;
+
+interface MetricsAnswer {
+    readonly counters: { readonly name: string; readonly tags: Record<string, string>; readonly value: number; }[];
+    readonly gauges: { readonly name: string; readonly value: number; }[];
+}
+
+describe("what operators see of a node", () => {
+    const statsd = createSocket("udp4");
+    const lines: string[] = [];
+    let fleet: Fleet;
+
+    before(async () => {
+        statsd.on("message", message => lines.push(...message.toString().split("\n")));
+        await new Promise<void>(resolve => statsd.bind(STATSD_PORT, statsdAddress, resolve));
+        fleet = await Fleet.create({
+            addressSeed,
+            configuration: example.configuration,
+            hosts: [{
+                name: "catalogue-1",
+                service: "catalogue",
+                failureDomain: "khomas-a",
+                region: "khomas",
+                seat: 0,
+            }],
+            settings: { statsd: { address: statsdAddress, port: STATSD_PORT } },
+            environment: { DEBUG: "*", DEBUG_COLORS: "no" },
+        });
+        await waitFor(async () => (await send({ authorization: `Bearer ${key}` })) === 200, "the node serves");
+    });
+
+    after(async () => {
+        await fleet.stop();
+        statsd.close();
+    });
+
+    async function send(headers: Record<string, string>, query = ""): Promise<number> {
+        const answer = await request(`${fleet.callerUrl("catalogue-1")}/catalogue/read/1${query}`, { headers });
+        await answer.body.dump();
+        return answer.statusCode;
+    }
+
+    async function readMetrics(): Promise<MetricsAnswer> {
+        const answer = await request(`${fleet.operatorsUrl("catalogue-1")}/metrics`);
+        return await answer.body.json() as MetricsAnswer;
+    }
+
+    /** Sum of a counter that statsd received with some tags. */
+    function received(name: string, ...tags: string[]): number {
+        return lines.filter(line => line.startsWith(`radishrouter.${name}:`) && tags.every(tag => line.includes(tag)))
+            .reduce((sum, line) => sum + Number(/:(\d+)\|c/.exec(line)?.[1] ?? 0), 0);
+    }
+
+    test("are counters by outcome and gauges, in a snapshot and at statsd", async () => {
+        assert.equal(await send({}), 401);
+        assert.equal(await send({ "authorization": `Bearer ${key}`, "x-api-key": key }), 200);
+        await waitFor(async () => (await fleet.report("catalogue-1")).openRequests === 0, "no request is open");
+        const { counters, gauges } = await readMetrics();
+        const sums = new Map<string, number>();
+        for (const { name, tags, value } of counters) {
+            const { organisation: _organisation, ...others } = tags;
+            const identity = [name, ...Object.entries(others).map(tag => tag.join(":"))].join(" ");
+            sums.set(identity, (sums.get(identity) ?? 0) + value);
+        }
+        for (const [identity, sum] of sums) {
+            const [name, ...tags] = identity.split(" ");
+            await waitFor(() => received(name!, ...tags) === sum, `statsd has ${sum} of ${identity}`);
+        }
+        assert.ok(counters.some(({ tags, value }) => tags["code"] === "1002" && value === 1));
+        assert.deepEqual(
+            gauges.map(gauge => gauge.name).sort(),
+            [
+                "backend.admitted_rank",
+                "backend.limit",
+                "backend.running",
+                "backend.waiting",
+                "configuration.version",
+                "peers.live",
+                "requests.open",
+            ],
+        );
+        for (const { name } of gauges) {
+            await waitFor(() => lines.some(line => line.startsWith(`radishrouter.${name}:`)), `statsd has ${name}`);
+        }
+        assert.ok(lines.every(line => line === "" || line.includes("host:catalogue-1")), "each line names its host");
+    });
+
+    test("is an audit trail, also as a structured log", async () => {
+        const answer = await request(`${fleet.operatorsUrl("catalogue-1")}/audit`);
+        const { entries } = await answer.body.json() as { entries: { change: string; sequence: number; }[]; };
+        assert.ok(entries.some(entry => entry.change === "configuration-in-force"));
+        const logged = () =>
+            fleet.host("catalogue-1").node.errorLines.filter(line => line.includes("radishrouter:audit"))
+                .map(line =>
+                    JSON.parse(line.slice(line.indexOf("{"), line.lastIndexOf("}") + 1)) as { sequence: number; }
+                );
+        const isLogged = ({ sequence }: { sequence: number; }) => logged().some(entry => entry.sequence === sequence);
+        await waitFor(() => entries.every(isLogged), "every change is in the log");
+    });
+
+    test("never holds a key, whatever is logged", async () => {
+        assert.equal(await send({ authorization: `Bearer ${key}` }, `?key=${key}`), 400);
+        assert.equal(await send({ authorization: `Bearer ${key}x` }), 401);
+        assert.equal(await send({ authorization: key }), 401);
+        assert.equal(await send({ "authorization": `Bearer ${key}`, "deadline-ms": key }), 400);
+        const log = () => fleet.host("catalogue-1").node.errorLines.join("\n");
+        for (const code of ["1001", "1002", "1003", "1009"]) {
+            await waitFor(() => log().includes(`radishrouter:refusal ${code}`), `refusal ${code} is logged`);
+        }
+        const { errorLines, lines: output } = fleet.host("catalogue-1").node;
+        const answers = await Promise.all(["status", "report", "audit", "metrics", "configuration"].map(async path => {
+            const answer = await request(`${fleet.operatorsUrl("catalogue-1")}/${path}`);
+            return answer.body.text();
+        }));
+        const secret = key.split("_").slice(2).join("_");
+        for (const text of [...errorLines, ...output, ...lines, ...answers, JSON.stringify(fleet.runRecords())]) {
+            assert.ok(!text.includes(secret), text);
+        }
+    });
+});
