Make connections from the address of the host

Seen in the partition test of at-most-once, where a request crossed a cut. Change: pass localAddress as an option of the pool. Result: the same test saw an answer across the cut before, and a refusal after.

--- a/packages/daemon/src/process/http-pools.ts
+++ b/packages/daemon/src/process/http-pools.ts
@@ -23,7 +23,8 @@
         connections: options.connections,
         pipelining: 1,
         keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-        connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: options.localAddress },
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        localAddress: options.localAddress,
         headersTimeout: 0,
         bodyTimeout: 0,
     });
--- a/packages/daemon/src/process/platform-reader.ts
+++ b/packages/daemon/src/process/platform-reader.ts
@@ -31,7 +31,7 @@
     private constructor(private readonly clock: Clock, private readonly pool: Pool) {}
 
     static create(options: PlatformReaderOptions): PlatformReader {
-        const pool = new Pool(options.url, { connect: { localAddress: options.localAddress, timeout: 1_000 } });
+        const pool = new Pool(options.url, { connect: { timeout: 1_000 }, localAddress: options.localAddress });
         return new PlatformReader(options.clock, pool);
     }
 
