Run requests with an idempotency key at most once

Cause: a caller that sent a booking again to another node had it run again. Change: each key has one owner, a published seat or the process that issued it; only the owner authorises the run and remembers the answer. A process that replaces another waits until what its predecessor authorised is past. Result: 6 of 6 integration tests and 5 of 5 core tests pass (`node scripts/run-tests.mjs at-most-once seat-authority idempotency-table`). Conclusion: holds for restarts, partitions and cut connections; a change of the number of seats is open.

--- a/packages/core/src/version/host-list.ts
+++ b/packages/core/src/version/host-list.ts
@@ -13,6 +13,8 @@
     failureDomain: nameSchema,
     region: nameSchema,
     service: nameSchema,
+    /** Number of the host's slot in its failure domain. */
+    seat: z.number().int().min(0).optional(),
     /** Port for requests of callers. */
     callerPort: portSchema,
     /** Port for requests that other nodes forward. */
--- a/packages/daemon/src/connection/backend-listener.ts
+++ b/packages/daemon/src/connection/backend-listener.ts
@@ -5,7 +5,7 @@
 import type { Clock, ConfigurationVersion } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { HandleTable } from "../process/handle-table.js";
-import type { RequestDispatcher } from "../process/request-dispatcher.js";
+import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { DEADLINE_HEADER, HANDLE_HEADER } from "../request/header-names.js";
@@ -23,7 +23,7 @@
     readonly clock: Clock;
     readonly limits: Settings["limits"];
     readonly handles: HandleTable;
-    readonly dispatcher: RequestDispatcher;
+    readonly dispatcher: KeyedDispatcher;
     readonly version: () => ConfigurationVersion | undefined;
 }
 
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -12,10 +12,10 @@
     RateLimiter,
 } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { RequestDispatcher } from "../process/request-dispatcher.js";
+import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
-import { DEADLINE_HEADER, INTERNAL_HEADER_PREFIX } from "../request/header-names.js";
+import { DEADLINE_HEADER, INTERNAL_HEADER_PREFIX, ISSUED_KEYS_TARGET } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
 import { readDeadlineMs } from "../request/request-deadline.js";
@@ -29,7 +29,7 @@
     readonly limits: Settings["limits"];
     readonly ledger: OutcomeLedger;
     readonly rateLimiter: RateLimiter;
-    readonly dispatcher: RequestDispatcher;
+    readonly dispatcher: KeyedDispatcher;
     /** Configuration in force; undefined until the first one has arrived. */
     readonly version: () => ConfigurationVersion | undefined;
     /** Whether the node is shutting down. */
@@ -57,6 +57,9 @@
 }
 
 async function serve(parts: CallerListenerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === ISSUED_KEYS_TARGET) {
+        return issueIdempotencyKey(parts, request, response);
+    }
     const entry = parts.ledger.offer();
     try {
         const admission = admit(parts, request);
@@ -75,6 +78,21 @@
     }
 }
 
+/** Answers a caller that wants an idempotency key that stays usable when this node is cut off from others. */
+function issueIdempotencyKey(parts: CallerListenerParts, request: IncomingMessage, response: ServerResponse): void {
+    try {
+        const key = readKey(request);
+        if (key === undefined || !parts.version()?.keys.find(key)) {
+            throw RequestError.create(key === undefined ? "key-missing" : "key-invalid");
+        }
+        response.writeHead(201, { "content-type": "application/json" });
+        response.end(JSON.stringify({ idempotencyKey: parts.dispatcher.issueKey() }));
+    }
+    catch (error) {
+        sendProblem(response, toRequestError(error));
+    }
+}
+
 function admit(parts: CallerListenerParts, request: IncomingMessage): Admission {
     const version = parts.version();
     if (parts.isStopping()) {
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
+import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
@@ -24,6 +25,7 @@
     readonly ownService: string;
     readonly proof: DeploymentProof;
     readonly runner: BackendRunner;
+    readonly dispatcher: KeyedDispatcher;
     readonly load: () => LocalLoad;
     readonly version: () => ConfigurationVersion | undefined;
     readonly isStopping: () => boolean;
@@ -45,13 +47,16 @@
     });
     try {
         authenticate(parts, request);
+        const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
         const context = createContext(parts, request, retryBudget, remainingMs, lifetime.signal);
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
-            replayBytes: 0,
+            replayBytes: isKeyOwner ? parts.limits.replayBytes : 0,
             maximumBytes: parts.limits.bodyBytes,
         });
-        const answer = await parts.runner.run(context, body);
+        const answer = isKeyOwner ?
+            await parts.dispatcher.dispatchOwned(context, body) :
+            await parts.runner.run(context, body);
         const headers = { ...answerWith("answered"), [answerHeaders.waitedMs]: String(Math.round(answer.waitedMs)) };
         await writeAnswer(response, answer, lifetime.signal, headers);
     }
@@ -88,7 +93,8 @@
         throw RequestError.create("configuration-missing");
     }
     const matched = version.routes.find(request.method ?? "", request.url ?? "");
-    if (!matched || matched.serviceName !== parts.ownService) {
+    const isOwnService = matched?.serviceName === parts.ownService;
+    if (!matched || !(isOwnService || request.headers[forwardHeaders.keyOwner] !== undefined)) {
         throw RequestError.create("no-backend-server", { detail: "This host does not run the service." });
     }
     return {
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -7,9 +7,12 @@
     CONFIGURATION_KEY,
     HOST_LIST_KEY,
     hostListSchema,
+    IdempotencyTable,
     LoadBalancer,
     MembershipView,
     OutcomeLedger,
+    SeatAuthority,
+    SeatDirectory,
     StaticShareLimiter,
     SystemClock,
 } from "@radishrouter/core";
@@ -27,6 +30,7 @@
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
+import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
@@ -46,7 +50,9 @@
     readonly platform: PlatformReader;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
-    readonly dispatcher: RequestDispatcher;
+    readonly dispatcher: KeyedDispatcher;
+    readonly seats: SeatDirectory;
+    readonly authority: SeatAuthority;
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
     readonly proof: DeploymentProof;
@@ -91,6 +97,7 @@
         );
         await closed;
         clearTimeout(limit);
+        this.parts.authority.close();
         this.parts.channels.close();
         this.controlServer?.close();
         await this.parts.platform.close();
@@ -144,6 +151,7 @@
         const list = hostListSchema.safeParse(value);
         if (list.success) {
             this.parts.membership.setPlatformList(list.data);
+            this.parts.seats.setPlatformList(list.data);
         }
     }
 }
@@ -163,7 +171,7 @@
         localAddress: settings.address,
     });
     const runner = BackendRunner.create({ clock, limiter, handles, pool });
-    const dispatcher = RequestDispatcher.create({
+    const unkeyed = RequestDispatcher.create({
         clock,
         ownService: settings.service,
         ownFailureDomain: settings.failureDomain,
@@ -173,22 +181,54 @@
         forwarder,
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
+    const incarnation = BigInt(Date.now());
+    const channels = ControlChannels.create({
+        clock,
+        proof,
+        ...identity,
+        incarnation,
+        findHost: name => membership.find(name),
+    });
+    const store = ConfigurationStore.create(audit);
+    const { failureDomain, seat, limits } = settings;
+    const seats = SeatDirectory.create();
+    const authority = SeatAuthority.create({
+        clock,
+        transport: channels,
+        failureDomain,
+        seat,
+        incarnation,
+        retentionMs: limits.idempotencyKeyMs,
+        livePeers: () => seats.isKnown ? membership.livePeers() : undefined,
+    });
+    const dispatcher = KeyedDispatcher.create({
+        clock,
+        dispatcher: unkeyed,
+        forwarder,
+        authority,
+        seats,
+        table: IdempotencyTable.create(clock, {
+            retentionMs: limits.idempotencyKeyMs,
+            maximumKeys: limits.idempotencyKeys,
+            maximumAnswerBytes: limits.idempotencyAnswerBytes,
+        }),
+        findHost: name => membership.find(name),
+        failureDomains: () => store.current?.configuration.failureDomains ?? {},
+        identity: { host: settings.host, incarnation, failureDomain, seat },
+        issuedKeyMs: limits.idempotencyKeyMs,
+    });
     return {
         clock,
         audit,
         ledger: OutcomeLedger.create(),
-        store: ConfigurationStore.create(audit),
+        store,
         membership,
         rateLimiter: StaticShareLimiter.create(clock),
         limiter,
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
-        channels: ControlChannels.create({
-            clock,
-            proof,
-            ...identity,
-            incarnation: BigInt(Date.now()),
-            findHost: name => membership.find(name),
-        }),
+        channels,
+        seats,
+        authority,
         forwarder,
         dispatcher,
         runner,
--- a/packages/daemon/src/process/peer-forwarder.ts
+++ b/packages/daemon/src/process/peer-forwarder.ts
@@ -23,6 +23,12 @@
     readonly proof: DeploymentProof;
 }
 
+/** How a request is forwarded. */
+export interface ForwardOptions {
+    /** Whether the peer owns the idempotency key of the request, rather than a backend server of its service. */
+    readonly toKeyOwner?: boolean;
+}
+
 /** Sends requests to other nodes and reads their answers. */
 export class PeerForwarder {
     private readonly pools = new Map<string, Pool>();
@@ -38,13 +44,21 @@
      *
      * @throws RequestError when the peer refused it or its outcome is unknown.
      */
-    async forward(host: Host, context: RequestContext, body: RequestBody): Promise<Answer> {
+    async forward(
+        host: Host,
+        context: RequestContext,
+        body: RequestBody,
+        options: ForwardOptions = {},
+    ): Promise<Answer> {
         const retries = context.retryBudget.takePart();
         try {
             const response = await this.poolOf(host).request({
                 method: context.method as "GET",
                 path: context.target,
-                headers: this.createHeaders(context, retries),
+                headers: {
+                    ...this.createHeaders(context, retries),
+                    ...(options.toKeyOwner ? { [forwardHeaders.keyOwner]: "1" } : {}),
+                },
                 body: bodyContent(body),
                 signal: context.signal,
             });
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -45,6 +45,12 @@
         headersTimeoutMs: z.number().int().positive().default(5_000),
         /** Time for a caller to send a whole request. */
         requestTimeoutMs: z.number().int().positive().default(30_000),
+        /** Time for which an idempotency key is remembered after its request has ended. */
+        idempotencyKeyMs: z.number().int().positive().default(600_000),
+        /** Idempotency keys that are remembered at once. */
+        idempotencyKeys: z.number().int().positive().default(20_000),
+        /** Bytes of answers that are remembered with idempotency keys. */
+        idempotencyAnswerBytes: z.number().int().min(0).default(8_388_608),
         /** Time that running requests get at a planned stop. */
         shutdownMs: z.number().int().positive().default(30_000),
     }).prefault({}),
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -11,6 +11,12 @@
 /** Names a non-idempotent request across repeated sends. */
 export const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
 
+/** Header of an answer that was given to an earlier request with the same idempotency key. */
+export const REPLAYED_HEADER = "idempotency-replayed";
+
+/** Target at which callers get an idempotency key from a node. */
+export const ISSUED_KEYS_TARGET = "/.radishrouter/idempotency-keys";
+
 /** Names the request in flight for which a backend server makes an onward call. */
 export const HANDLE_HEADER = "radishrouter-handle";
 
@@ -22,6 +28,8 @@
     importance: "radishrouter-importance",
     remainingMs: "radishrouter-remaining-ms",
     retries: "radishrouter-retries",
+    /** Set when the receiver owns the idempotency key and has to decide whether the request may run. */
+    keyOwner: "radishrouter-key-owner",
 } as const;
 
 /** Headers of the answer to a forwarded request. */
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -337,13 +337,14 @@
     }
 
     private describe(host: FleetHost, leaving: readonly string[]): Host {
-        const { name, failureDomain, region, service } = host.specification;
+        const { name, failureDomain, region, service, seat } = host.specification;
         return {
             name,
             address: this.options.proxied ? this.proxiedAddressOf(name) : host.address,
             failureDomain,
             region,
             service,
+            seat,
             callerPort: ports.callers,
             forwardPort: ports.forward,
             controlPort: ports.control,
