--- a/packages/core/src/version/route-index.ts
+++ b/packages/core/src/version/route-index.ts
@@ -2,6 +2,7 @@
  * Finds the route of a request within one configuration version.
  */
 import type { Configuration, Route, Service } from "./configuration.js";
+import { parseRequestTarget } from "./request-target.js";
 
 /** Where a request goes and how it is treated. */
 export interface MatchedRoute {
@@ -30,6 +31,23 @@
     return new RegExp(`^${source}$`);
 }
 
+/** Whether every request that a later route path matches is matched by an earlier one. */
+export function coversPath(earlier: string, later: string): boolean {
+    const earlierSegments = earlier.split("/");
+    const laterSegments = later.split("/");
+    for (const [index, segment] of earlierSegments.entries()) {
+        const other = laterSegments[index];
+        if (segment === "*") {
+            return other !== undefined;
+        }
+        const isCovered = segment === other || (segment.startsWith(":") && other !== undefined && other !== "*");
+        if (!isCovered) {
+            return false;
+        }
+    }
+    return earlierSegments.length === laterSegments.length;
+}
+
 /** All routes of one configuration version; the first path segment of a request names its service. */
 export class RouteIndex {
     private constructor(
@@ -47,18 +65,17 @@
 
     /** Finds the route for a method and a request target such as `/items/search?q=1`. */
     find(method: string, target: string): MatchedRoute | undefined {
-        const match = /^\/([^/?#]+)(\/[^?#]*)?(\?[^#]*)?$/.exec(target);
-        const serviceName = match?.[1];
-        if (serviceName === undefined) {
+        const parsed = parseRequestTarget(target);
+        if (parsed.kind === "invalid") {
             return undefined;
         }
-        const path = match?.[2] ?? "/";
+        const { serviceName, path, query } = parsed;
         const found = this.routes.get(serviceName)
             ?.find(({ route, pattern }) => route.method === method && pattern.test(path));
         if (!found) {
             return undefined;
         }
         const service = this.configuration.services[serviceName]!;
-        return { serviceName, service, route: found.route, backendPath: path + (match?.[3] ?? "") };
+        return { serviceName, service, route: found.route, backendPath: path + query };
     }
 }
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -53,6 +53,10 @@
         idempotencyKeys: z.number().int().positive().default(20_000),
         /** Bytes of answers that are remembered with idempotency keys. */
         idempotencyAnswerBytes: z.number().int().min(0).default(8_388_608),
+        /** Connections that callers of one address may hold open. */
+        connectionsPerAddress: z.number().int().positive().default(4_096),
+        /** Requests that one key, or one address without a key, may have open. */
+        requestsPerCaller: z.number().int().positive().default(4_096),
         /** Time that running requests get at a planned stop. */
         shutdownMs: z.number().int().positive().default(30_000),
     }).prefault({}),
