--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
+import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { readForwardedHeaders } from "../request/forwarded-headers.js";
@@ -26,6 +27,7 @@
     readonly ownService: string;
     readonly proof: DeploymentProof;
     readonly runner: BackendRunner;
+    readonly dispatcher: KeyedDispatcher;
     readonly load: () => LocalLoad;
     readonly version: () => ConfigurationVersion | undefined;
     readonly isStopping: () => boolean;
@@ -62,12 +64,15 @@
     });
     try {
         const context = createContext(parts, request, forwarded, retryBudget, lifetime.signal);
+        const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
-            replayBytes: 0,
+            replayBytes: isKeyOwner ? parts.limits.replayBytes : 0,
             maximumBytes: parts.limits.bodyBytes,
         });
-        const answer = await parts.runner.run(context, body);
+        const answer = isKeyOwner ?
+            await parts.dispatcher.dispatchOwned(context, body) :
+            await parts.runner.run(context, body);
         const headers = { ...answerWith("answered"), [answerHeaders.waitedMs]: String(Math.round(answer.waitedMs)) };
         await writeAnswer(response, answer, lifetime.signal, headers);
     }
@@ -104,7 +109,8 @@
         throw RequestError.create("configuration-missing");
     }
     const matched = version.routes.find(request.method ?? "", request.url ?? "");
-    if (!matched || matched.serviceName !== parts.ownService) {
+    const isOwnService = matched?.serviceName === parts.ownService;
+    if (!matched || !(isOwnService || request.headers[forwardHeaders.keyOwner] !== undefined)) {
         throw RequestError.create("no-backend-server", { detail: "This host does not run the service." });
     }
     return {
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -7,9 +7,12 @@
     CONFIGURATION_KEY,
     HOST_LIST_KEY,
     hostListSchema,
+    IdempotencyTable,
     LoadBalancer,
     MembershipView,
     OutcomeLedger,
+    SeatAuthority,
+    SeatDirectory,
     SystemClock,
 } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, NodeStatus, RateLimiter } from "@radishrouter/core";
@@ -26,6 +29,7 @@
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
+import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { collectMetrics, MetricsSender } from "./metrics.js";
 import type { MetricsSources } from "./metrics.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
@@ -50,7 +54,9 @@
     readonly platform: PlatformReader;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
-    readonly dispatcher: RequestDispatcher;
+    readonly dispatcher: KeyedDispatcher;
+    readonly seats: SeatDirectory;
+    readonly authority: SeatAuthority;
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
     readonly proof: DeploymentProof;
@@ -99,6 +105,7 @@
         );
         await closed;
         clearTimeout(limit);
+        this.parts.authority.close();
         this.parts.channels.close();
         this.controlServer?.close();
         await this.metricsSender?.close();
@@ -165,6 +172,7 @@
         const list = hostListSchema.safeParse(value);
         if (list.success) {
             this.parts.membership.setPlatformList(list.data);
+            this.parts.seats.setPlatformList(list.data);
         }
     }
 }
@@ -192,7 +200,7 @@
         localAddress: settings.address,
     });
     const runner = BackendRunner.create({ clock, limiter, handles, pool });
-    const dispatcher = RequestDispatcher.create({
+    const unkeyed = RequestDispatcher.create({
         clock,
         ownService: settings.service,
         ownFailureDomain: settings.failureDomain,
@@ -202,16 +210,46 @@
         forwarder,
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
+    const store = ConfigurationStore.create(audit);
+    const { failureDomain, seat, limits } = settings;
+    const seats = SeatDirectory.create();
+    const authority = SeatAuthority.create({
+        clock,
+        transport: channels,
+        failureDomain,
+        seat,
+        incarnation,
+        retentionMs: limits.idempotencyKeyMs,
+        livePeers: () => seats.isKnown ? membership.livePeers() : undefined,
+    });
+    const dispatcher = KeyedDispatcher.create({
+        clock,
+        dispatcher: unkeyed,
+        forwarder,
+        authority,
+        seats,
+        table: IdempotencyTable.create(clock, {
+            retentionMs: limits.idempotencyKeyMs,
+            maximumKeys: limits.idempotencyKeys,
+            maximumAnswerBytes: limits.idempotencyAnswerBytes,
+        }),
+        findHost: name => membership.find(name),
+        failureDomains: () => store.current?.configuration.failureDomains ?? {},
+        identity: { host: settings.host, incarnation, failureDomain, seat },
+        issuedKeyMs: limits.idempotencyKeyMs,
+    });
     return {
         clock,
         audit,
         ledger: OutcomeLedger.create(),
-        store: ConfigurationStore.create(audit),
+        store,
         membership,
         rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
         channels,
+        seats,
+        authority,
         forwarder,
         dispatcher,
         runner,
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -47,6 +47,12 @@
         headersTimeoutMs: z.number().int().positive().default(5_000),
         /** Time for a caller to send a whole request. */
         requestTimeoutMs: z.number().int().positive().default(30_000),
+        /** Time for which an idempotency key is remembered after its request has ended. */
+        idempotencyKeyMs: z.number().int().positive().default(600_000),
+        /** Idempotency keys that are remembered at once. */
+        idempotencyKeys: z.number().int().positive().default(20_000),
+        /** Bytes of answers that are remembered with idempotency keys. */
+        idempotencyAnswerBytes: z.number().int().min(0).default(8_388_608),
         /** Connections that callers of one address may hold open. */
         connectionsPerAddress: z.number().int().positive().default(4_096),
         /** Requests that one key, or one address without a key, may have open. */
