Find repeated names and seats that would exceed the rates

Cause: a name that stands twice in one JSON object was dropped without a word; shareCount could not be set in operators' files; and compile made versions whose seats mint more than the rates beside the previous version.

--- a/packages/cli/src/command/compile-command.ts
+++ b/packages/cli/src/command/compile-command.ts
@@ -1,11 +1,12 @@
 /**
  * `radishrouter check` and `radishrouter compile`: from operators' files to the document that they publish.
  */
-import { compileSources, configurationSchema } from "@radishrouter/core";
+import { compileSources, configurationSchema, findShareConflict } from "@radishrouter/core";
 import type { CompileResult, Configuration, SourceProblem } from "@radishrouter/core";
 import { renameSync, writeFileSync } from "node:fs";
 import { CommandError, exitCodes } from "./command-error.js";
 import { readJsonFile, readText } from "./read-files.js";
+import { findRepeatedNames } from "./repeated-names.js";
 
 /** The platform takes values of less than this. */
 const PLATFORM_VALUE_BYTES = 1_000_000;
@@ -37,7 +38,13 @@
     if (files.length === 0) {
         throw CommandError.create("give the files to read", exitCodes.usage);
     }
-    return compileSources(files.map(file => ({ file, text: readText(file) })), version);
+    const sources = files.map(file => ({ file, text: readText(file) }));
+    const repeated = sources.flatMap(findRepeatedNames);
+    const result = compileSources(sources, version);
+    if (repeated.length === 0) {
+        return result;
+    }
+    return { kind: "refused", problems: result.kind === "refused" ? [...repeated, ...result.problems] : repeated };
 }
 
 /** Formats mistakes, one a line. */
@@ -56,16 +63,27 @@
  * @throws CommandError that lists every mistake, or says why the document cannot be published.
  */
 export function compileFiles(files: readonly string[], options: CompileOptions = {}): CompiledDocument {
-    const version = chooseVersion(options);
+    const previous = options.previous === undefined ?
+        undefined :
+        readJsonFile(options.previous, configurationSchema, "a compiled document");
+    const version = chooseVersion(options.versionNumber, previous?.version);
     const result = checkFiles(files, version);
     switch (result.kind) {
         case "refused":
             throw CommandError.create(formatProblems(result.problems));
         case "compiled":
+            refuseShareConflict(previous, result.configuration);
             return createDocument(result.configuration, result.warnings);
     }
 }
 
+function refuseShareConflict(previous: Configuration | undefined, next: Configuration): void {
+    const conflict = previous ? findShareConflict(previous, next) : undefined;
+    if (conflict !== undefined) {
+        throw CommandError.create(`failureDomains: ${conflict}`);
+    }
+}
+
 function createDocument(configuration: Configuration, warnings: readonly SourceProblem[]): CompiledDocument {
     const text = JSON.stringify(configuration);
     const bytes = Buffer.byteLength(text);
@@ -78,11 +96,8 @@
     return { configuration, text, warnings };
 }
 
-function chooseVersion(options: CompileOptions): number {
-    const previous = options.previous === undefined ?
-        undefined :
-        readJsonFile(options.previous, configurationSchema, "a compiled document").version;
-    const version = options.versionNumber ?? (previous ?? FIRST_VERSION - 1) + 1;
+function chooseVersion(wanted: number | undefined, previous: number | undefined): number {
+    const version = wanted ?? (previous ?? FIRST_VERSION - 1) + 1;
     if (!Number.isSafeInteger(version) || version < FIRST_VERSION) {
         throw CommandError.create(`--version-number ${version}: use a whole number from 1`, exitCodes.usage);
     }
--- a/packages/cli/src/test/command-line.test.ts
+++ b/packages/cli/src/test/command-line.test.ts
@@ -101,6 +101,40 @@
         assert.equal((await run("compile", source, "--previous", source)).exitCode, 1);
     });
 
+    test("refuses names that stand twice in an object", async () => {
+        const text = `{"organisations": {"archive": {"rate": 1},\n"archive": ${
+            JSON.stringify(document.organisations.archive)
+        }}}`;
+        const { exitCode, output } = await run("check", file("twice.json", text));
+        assert.equal(exitCode, 1);
+        assert.match(output, /twice\.json: organisations\.archive: stands twice, again in line 2; keep one/);
+    });
+
+    test("refuses seats that would mint more than the rates beside the previous version", async () => {
+        const previous = join(directory, "two-seats.json");
+        await run("compile", file("two-seats-source.json", document), "--out", previous);
+        const failureDomains = { "khomas-a": { region: "khomas", seats: 3 } };
+        const more = file("three-seats.json", { ...document, failureDomains });
+        const { exitCode, notes } = await run("compile", more, "--previous", previous);
+        assert.equal(exitCode, 1);
+        assert.match(notes, /seats would mint 133\.3% of every rate; to add seats, first raise shareCount alone/);
+        const shares = file("share-count.json", { shareCount: 3 });
+        const good = join(directory, "two-seats-source.json");
+        assert.equal((await run("compile", good, shares, "--previous", previous, "--out", previous)).exitCode, 0);
+        assert.equal((await run("compile", more, shares, "--previous", previous)).exitCode, 0);
+        const few = await run("check", good, file("few-shares.json", { shareCount: 1 }));
+        assert.match(few.output, /few-shares\.json: shareCount: must be at least the number of seats/);
+    });
+
+    test("ends quietly when the reader of a pipe stops", async () => {
+        const child = spawn(process.execPath, [script, "key"], { stdio: ["ignore", "pipe", "pipe"] });
+        child.stdout.destroy();
+        let notes = "";
+        child.stderr.on("data", chunk => (notes += String(chunk)));
+        const code = await new Promise(resolve => child.once("close", resolve));
+        assert.deepEqual({ code, notes }, { code: 0, notes: "" });
+    });
+
     test("refuses a document that the platform does not take", async () => {
         const organisations = Object.fromEntries(Array.from({ length: 8_000 }, (_, index) => {
             const id = `key${String(index).padStart(8, "0")}`;
--- a/packages/core/src/version/configuration.ts
+++ b/packages/core/src/version/configuration.ts
@@ -85,6 +85,7 @@
     organisations: z.record(nameSchema, organisationSchema).optional(),
     services: z.record(nameSchema, serviceSchema).optional(),
     failureDomains: z.record(nameSchema, failureDomainSchema).optional(),
+    shareCount: z.number().int().positive().optional(),
 });
 
 /** Name and limits of a key; see {@link keyRecordSchema}. */
--- a/packages/core/src/version/source-compiler.ts
+++ b/packages/core/src/version/source-compiler.ts
@@ -22,7 +22,12 @@
     }
     | { readonly kind: "refused"; readonly problems: readonly SourceProblem[]; };
 
-type Section = keyof SourceFile;
+type Section = Exclude<keyof SourceFile, "shareCount">;
+
+/** Everything that the files define, before it is checked as a whole. */
+interface JoinedFiles extends Record<Section, Record<string, unknown>> {
+    shareCount?: number;
+}
 
 const JOINED_FILES = "the joined files";
 const sections: readonly Section[] = ["organisations", "services", "failureDomains"];
@@ -30,16 +35,16 @@
 /** Checks files and joins them into one version of the configuration. */
 export function compileSources(sources: readonly SourceText[], version: number): CompileResult {
     const problems: SourceProblem[] = [];
-    const joined = {
-        organisations: {} as Record<string, unknown>,
-        services: {} as Record<string, unknown>,
-        failureDomains: {} as Record<string, unknown>,
-    };
+    const joined: JoinedFiles = { organisations: {}, services: {}, failureDomains: {} };
     const origins = new Map<string, string>();
     for (const source of sources) {
         const content = parseSource(source, problems);
+        const target = { file: source.file, joined, origins, problems };
         for (const section of sections) {
-            joinSection(section, content?.[section] ?? {}, { file: source.file, joined, origins, problems });
+            joinSection(section, content?.[section] ?? {}, target);
+        }
+        if (content?.shareCount !== undefined && claimPath("shareCount", target)) {
+            joined.shareCount = content.shareCount;
         }
     }
     if (problems.length > 0) {
@@ -47,7 +52,11 @@
     }
     const parsed = configurationSchema.safeParse({ version, ...joined });
     if (!parsed.success) {
-        return { kind: "refused", problems: toProblems(JOINED_FILES, parsed.error) };
+        const found = toProblems(JOINED_FILES, parsed.error);
+        return {
+            kind: "refused",
+            problems: found.map(problem => ({ ...problem, file: origins.get(problem.path) ?? JOINED_FILES })),
+        };
     }
     return finish(parsed.data, checkConfiguration(parsed.data, path => origins.get(path) ?? JOINED_FILES));
 }
@@ -60,25 +69,31 @@
 
 interface JoinTarget {
     readonly file: string;
-    readonly joined: Record<Section, Record<string, unknown>>;
+    readonly joined: JoinedFiles;
     readonly origins: Map<string, string>;
     readonly problems: SourceProblem[];
 }
 
 function joinSection(section: Section, records: Record<string, unknown>, target: JoinTarget): void {
     for (const [name, record] of Object.entries(records)) {
-        const path = `${section}.${name}`;
-        const other = target.origins.get(path);
-        if (other !== undefined) {
-            const message = `is already defined in ${other}; keep one of the two`;
-            target.problems.push({ file: target.file, path, message, severity: "error" });
-            continue;
+        if (claimPath(`${section}.${name}`, target)) {
+            target.joined[section][name] = record;
         }
-        target.origins.set(path, target.file);
-        target.joined[section][name] = record;
     }
 }
 
+/** Notes which file defines a path; false when another one did before. */
+function claimPath(path: string, target: JoinTarget): boolean {
+    const other = target.origins.get(path);
+    if (other !== undefined) {
+        const message = `is already defined in ${other}; keep one of the two`;
+        target.problems.push({ file: target.file, path, message, severity: "error" });
+        return false;
+    }
+    target.origins.set(path, target.file);
+    return true;
+}
+
 function parseSource(source: SourceText, problems: SourceProblem[]): SourceFile | undefined {
     let content: unknown;
     try {
--- a/packages/core/src/version/source-problem.ts
+++ b/packages/core/src/version/source-problem.ts
@@ -38,6 +38,8 @@
             return `is too large; use ${issue.inclusive ? "at most" : "less than"} ${issue.maximum}`;
         case "invalid_key":
             return `has a name that is not allowed: ${issue.issues[0]?.message ?? "choose another name"}`;
+        case "custom":
+            return issue.message;
         default:
             return `is not allowed: ${issue.message}`;
     }
