Measure what carries requests between nodes

Cause: docs/STYLE.md names where requests do not go by connect-es and express, and the repository had no measurement.

Change: the bench scenario transport compares undici to node:http, undici to express, and a connect-es stream for each request, in turns between two processes.

--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -2,6 +2,7 @@
  * All scenarios of the bench.
  */
 import type { Scenario } from "./scenario.js";
+import { transportScenario } from "./transport/transport-scenario.js";
 
 /** Scenarios by the order in which they are listed. */
-export const scenarios: readonly Scenario[] = [];
+export const scenarios: readonly Scenario[] = [transportScenario];
