Test reports, fair shares, commands at a live node, and handles

Cause: the division into fair shares, the report since an earlier one, the commands against a live node and refusals of forged and late handles had no tests; the page drew empty bars for rows without a share.

The chart of shares shows organisations only.

--- a/packages/cli/src/report/chart-script.ts
+++ b/packages/cli/src/report/chart-script.ts
@@ -5,13 +5,14 @@
 Chart.defaults.font.family = "system-ui, sans-serif";
 Chart.defaults.font.size = 13;
 Chart.defaults.color = "#1d2733";
-const labels = rows.map(row => row.organisation);
-const series = (label, name, colour) => ({
-    label, data: rows.map(row => row[name]), backgroundColor: colour, maxBarThickness: 22,
-});
-const draw = (id, datasets, stacked, unit) => new Chart(document.getElementById(id), {
+const draw = (id, shown, columns, stacked, unit) => new Chart(document.getElementById(id), {
     type: "bar",
-    data: { labels, datasets },
+    data: {
+        labels: shown.map(row => row.organisation),
+        datasets: columns.map(([label, name, colour]) => ({
+            label, data: shown.map(row => row[name]), backgroundColor: colour, maxBarThickness: 22,
+        })),
+    },
     options: {
         indexAxis: "y",
         animation: false,
@@ -23,15 +24,15 @@
         },
     },
 });
-draw("outcomes", [
-    series("completed promptly", "prompt", "#1b7a4b"),
-    series("completed after a delay", "delayed", "#8ccf9f"),
-    series("refused, not run", "refused", "#e0a020"),
-    series("failed", "failed", "#b3261e"),
-    series("unknown", "unknown", "#5b3f8c"),
+draw("outcomes", rows, [
+    ["completed promptly", "prompt", "#1b7a4b"],
+    ["completed after a delay", "delayed", "#8ccf9f"],
+    ["refused, not run", "refused", "#e0a020"],
+    ["failed", "failed", "#b3261e"],
+    ["unknown", "unknown", "#5b3f8c"],
 ], true, "requests");
-draw("shares", [
-    series("received", "received", "#1f5fa8"),
-    series("fair share", "fair", "#a9b4c0"),
+draw("shares", rows.filter(row => row.hasShare), [
+    ["received", "received", "#1f5fa8"],
+    ["fair share", "fair", "#a9b4c0"],
 ], false, "per cent of the completed requests");
 `;
--- a/packages/cli/src/report/page-style.ts
+++ b/packages/cli/src/report/page-style.ts
@@ -14,6 +14,6 @@
 table { border-collapse: collapse; font-size: 14px; font-variant-numeric: tabular-nums; }
 th, td { padding: 5px 12px; text-align: right; border-bottom: 1px solid #d5dbe1; }
 th { color: #46535f; font-weight: 600; vertical-align: bottom; }
-th:first-child, td:first-child { text-align: left; padding-left: 0; }
+th:first-child, td:first-child { text-align: left; padding-left: 0; white-space: nowrap; }
 @media print { main { max-width: none; padding: 0; } }
 `;
--- a/packages/cli/src/report/report-page.ts
+++ b/packages/cli/src/report/report-page.ts
@@ -38,7 +38,7 @@
 }
 
 /** What the charts show of one organisation. */
-function toChartRow(row: OrganisationReport): Record<string, string | number> {
+function toChartRow(row: OrganisationReport): Record<string, string | number | boolean> {
     return {
         organisation: row.organisation,
         prompt: row.completed - row.delayed,
@@ -46,6 +46,7 @@
         refused: sumCounters(row.refused),
         failed: sumCounters(row.failed),
         unknown: sumCounters(row.unknown),
+        hasShare: row.fairShare !== undefined,
         received: (row.receivedShare ?? 0) * 100,
         fair: (row.fairShare ?? 0) * 100,
     };
@@ -55,6 +56,7 @@
 export function createReportPage(report: FleetReport): string {
     const rows = report.organisations.map(toChartRow);
     const height = 120 + rows.length * 34;
+    const sharesHeight = 120 + rows.filter(row => row["hasShare"]).length * 34;
     return `<!doctype html>
 <html lang="en">
 <head>
@@ -72,7 +74,7 @@
 <h2>Share of the completed requests, received and fair</h2>
 <p>The fair share divides the completed requests by the published rates; nobody gets more than was offered, and what
 one organisation does not need goes to the others by their rates.</p>
-<div class="chart" style="height:${height}px"><canvas id="shares"></canvas></div>
+<div class="chart" style="height:${sharesHeight}px"><canvas id="shares"></canvas></div>
 <h2>Counters</h2>
 ${createTable(report)}
 <h2>Refusals by result code</h2>
--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -227,6 +227,20 @@
         assert.ok(!JSON.stringify(runs).toLowerCase().includes(key.slice(3, 12).toLowerCase()));
     });
 
+    test("cannot make onward calls without the handle of a request that runs", async () => {
+        await waitFor(() => serves("catalogue-1"), "a request has run");
+        const ended = fleet.runRecords().find(run => run.host === "catalogue-1" && run.path === "/read/innocent");
+        const late = String(ended?.headers["radishrouter-handle"]);
+        assert.match(late, /^[A-Za-z0-9_-]{20,}$/);
+        const organisation = { "radishrouter-organisation": "archive", "authorization": `Bearer ${key}` };
+        for (const handle of [{}, { "radishrouter-handle": "x" }, { "radishrouter-handle": late }]) {
+            const headers = { ...organisation, ...handle };
+            const answer = await request(`http://${address}:${ports.backend}/items/read/onward`, { headers });
+            assert.deepEqual([answer.statusCode, (await answer.body.json() as { code: number; }).code], [403, 1011]);
+        }
+        assert.ok(!fleet.runRecords().some(run => run.path.includes("onward")));
+    });
+
     test("cannot pass for a node on the forward listener", async () => {
         const url = `http://${address}:${ports.forward}/catalogue/read/forged`;
         const forged: Record<string, string> = {
--- a/packages/testbed/src/test/operators-view.test.ts
+++ b/packages/testbed/src/test/operators-view.test.ts
@@ -1,5 +1,9 @@
+import { runCommandLine } from "@radishrouter/cli";
 import assert from "node:assert/strict";
 import { createSocket } from "node:dgram";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
 import { after, before, describe, test } from "node:test";
 import { request } from "undici";
 import { FleetAddresses } from "../fleet/addresses.js";
@@ -114,6 +118,43 @@
         await waitFor(() => entries.every(isLogged), "every change is in the log");
     });
 
+    test("is what the commands show", async () => {
+        const url = fleet.operatorsUrl("catalogue-1");
+        const directory = mkdtempSync(join(tmpdir(), "radishrouter-view-"));
+        const run = async (...args: string[]) => {
+            let output = "";
+            const print = (text: string) => (output += `${text}\n`);
+            const exitCode = await runCommandLine(args, { print, note: print });
+            return { exitCode, output };
+        };
+        try {
+            const explained = await run("explain", "GET", "/catalogue/read/1", "--key", key, "--node", url);
+            assert.equal(explained.exitCode, 0, explained.output);
+            assert.match(explained.output, /belongs to archive[^]*catalogue-1: \d+ of \d+ running/);
+            assert.match((await run("status", url)).output, /^catalogue-1\tcatalogue\tkhomas-a\trunning\t1\t0\t/m);
+            assert.match((await run("audit", url, "--change", "configuration-in-force")).output, /in-force\t1\t/);
+            const earlier = join(directory, "earlier.json");
+            writeFileSync(earlier, (await run("report", url, "--json")).output);
+            assert.equal(await send({ authorization: `Bearer ${key}` }), 200);
+            await waitFor(async () => (await fleet.report("catalogue-1")).openRequests === 0, "no request is open");
+            const page = join(directory, "report.html");
+            const since = await run("report", url, "--since", earlier, "--html", page);
+            assert.equal(since.exitCode, 0, since.output);
+            assert.match(since.output, /^archive\t1\t1\t0\t0\t0\t0\t0\t100\.0%\t100\.0%\t-$/m);
+            const html = readFileSync(page, "utf8");
+            assert.ok(
+                html.includes("<td>archive</td>") &&
+                    !/(?:src|href)=/.test(html.replace(/<script>[^]*?<\/script>/g, "")),
+            );
+            const partial = await run("report", url, "http://127.0.0.1:9");
+            assert.equal(partial.exitCode, 3);
+            assert.match(partial.output, /missing: the requests of http:\/\/127\.0\.0\.1:9/);
+        }
+        finally {
+            rmSync(directory, { recursive: true });
+        }
+    });
+
     test("never holds a key, whatever is logged", async () => {
         assert.equal(await send({ authorization: `Bearer ${key}` }, `?key=${key}`), 400);
         assert.equal(await send({ authorization: `Bearer ${key}x` }), 401);
