Test that callers who do not read their answers free their slots

Cause: nothing showed that a slot is freed when a caller stops reading.

Change: a test with an answer of 64 MB that nobody reads.

--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -166,6 +166,22 @@
         assert.equal(problemOf(answer.body).execution, "unknown");
     });
 
+    test("hold a slot only until the deadline when they do not read their answer", async () => {
+        await fleet.setBehaviour("catalogue-1", { answerBytes: 64_000_000 });
+        const before = (await fleet.report("catalogue-1")).organisations["archive"]?.unknown["3001"] ?? 0;
+        const socket = connect(ports.callers, address, () => socket.write(`${read}Deadline-Ms: 1000\r\n\r\n`));
+        socket.pause();
+        socket.on("error", () => undefined);
+        await waitFor(async () => (await fleet.status("catalogue-1")).load.inFlight === 1, "the request holds a slot");
+        await waitFor(async () => {
+            const { load } = await fleet.status("catalogue-1");
+            const unknown = (await fleet.report("catalogue-1")).organisations["archive"]?.unknown["3001"];
+            return load.inFlight === 0 && unknown === before + 1;
+        }, "the slot is free and the request is counted as past its deadline");
+        socket.destroy();
+        await fleet.setBehaviour("catalogue-1", { answerBytes: 0 });
+    });
+
     test("hold a bounded number of connections and requests open", async () => {
         const sockets: Socket[] = [];
         let refused = 0;
