Notice silent connections and refuse answers that cannot be told whole

Cause: a request on a connection that went silent waited for its deadline; idle connections were used for up to 58 s, since undici follows the server's hint; an answer that ends with its connection could be half. Change: progress between nodes, a judgement of the backend server's connections by later answers, separate connections for non-idempotent requests, timeouts checked each second, exchange names between nodes, framing required. One retry stays at the sender, which had given all to a peer that never answered, so that an idempotent request was not sent again.

--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -1,13 +1,14 @@
 /**
  * Requests that other nodes forward to the backend server of this host.
  */
-import { importanceSchema, RequestError, RetryBudget } from "@radishrouter/core";
+import { importanceSchema, RequestError, RetryBudget, setRepeatingTimer } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
+import { PROGRESS_INTERVAL_MS } from "../process/silence-watch.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
@@ -40,7 +41,9 @@
     const retryBudget = RetryBudget.create(Number(request.headers[forwardHeaders.retries]) || 0);
     const remainingMs = Number(request.headers[forwardHeaders.remainingMs]) || 0;
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
+    const progress = setRepeatingTimer(parts.clock, PROGRESS_INTERVAL_MS, () => showProgress(response));
     const answerWith = (outcome: string) => ({
+        [forwardHeaders.exchange]: String(request.headers[forwardHeaders.exchange]),
         [answerHeaders.outcome]: outcome,
         [answerHeaders.retriesLeft]: String(retryBudget.left),
         [answerHeaders.load]: JSON.stringify(parts.load()),
@@ -64,10 +67,18 @@
         sendProblem(response, toRequestError(error), answerWith("refused"));
     }
     finally {
+        progress.cancel();
         lifetime.end();
     }
 }
 
+/** Shows the sender, which cannot tell a silent connection from a long run, that this node works on its request. */
+function showProgress(response: ServerResponse): void {
+    if (!response.headersSent && !response.destroyed) {
+        response.writeProcessing();
+    }
+}
+
 function authenticate(parts: ForwardListenerParts, request: IncomingMessage): void {
     const sender = request.headers[forwardHeaders.sender];
     const proof = request.headers[forwardHeaders.proof];
--- a/packages/daemon/src/connection/http-server.ts
+++ b/packages/daemon/src/connection/http-server.ts
@@ -18,9 +18,16 @@
     });
 }
 
+/** Ends connections whose other end has vanished, and checks the timeouts of requests each second. */
+const livenessOptions: ServerOptions = {
+    keepAlive: true,
+    keepAliveInitialDelay: 1_000,
+    connectionsCheckingInterval: 1_000,
+};
+
 /** Creates a server whose handler is a task for each request. */
 export function createHttpServer(options: ServerOptions, handler: RequestHandler): Server {
-    return createServer(options, (request, response) => {
+    return createServer({ ...livenessOptions, ...options }, (request, response) => {
         handler(request, response).catch(() => response.destroy());
     });
 }
--- a/packages/daemon/src/process/backend-runner.ts
+++ b/packages/daemon/src/process/backend-runner.ts
@@ -3,21 +3,24 @@
  */
 import type { Clock, ConcurrencyLimiter, Permit, RunOutcome } from "@radishrouter/core";
 import { RequestError } from "@radishrouter/core";
-import type { Pool } from "undici";
+import type { Dispatcher } from "undici";
 import { HANDLE_HEADER } from "../request/header-names.js";
 import { bodyContent } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
 import { createReturnHeaders } from "../request/request-headers.js";
+import type { BackendSilence } from "./backend-silence.js";
 import type { HandleTable } from "./handle-table.js";
 import { createConnectionError } from "./http-pools.js";
+import type { ServerConnections } from "./server-connections.js";
 
 /** Parts that a runner works with. */
 export interface BackendRunnerParts {
     readonly clock: Clock;
     readonly limiter: ConcurrencyLimiter;
     readonly handles: HandleTable;
-    readonly pool: Pool;
+    readonly connections: ServerConnections;
+    readonly silence: BackendSilence;
 }
 
 /** Sends requests to the local backend server within its concurrency limit. */
@@ -58,13 +61,7 @@
         end: (outcome: RunOutcome) => void,
     ): Promise<Answer> {
         context.signal.throwIfAborted();
-        const response = await this.parts.pool.request({
-            method: context.method as "GET",
-            path: context.matched.backendPath,
-            headers: { ...context.headers, [HANDLE_HEADER]: handle },
-            body: bodyContent(body),
-            signal: context.signal,
-        });
+        const response = await this.exchange(context, body, handle);
         response.body.once("close", () => end(response.body.errored ? "failed" : "completed"));
         return {
             status: response.statusCode,
@@ -74,6 +71,36 @@
         };
     }
 
+    private async exchange(
+        context: RequestContext,
+        body: RequestBody,
+        handle: string,
+    ): Promise<Dispatcher.ResponseData> {
+        const { connections, silence } = this.parts;
+        const { route, serviceName } = context.matched;
+        const silent = new AbortController();
+        const waiting = silence.start(`${serviceName} ${route.method} ${route.path}`, () => {
+            if (route.idempotent) {
+                silent.abort(RequestError.create("backend-connection-lost", { detail: "The connection went silent." }));
+            }
+        });
+        try {
+            const response = await connections.poolFor(route.idempotent).request({
+                method: context.method as "GET",
+                path: context.matched.backendPath,
+                headers: { ...context.headers, [HANDLE_HEADER]: handle },
+                body: bodyContent(body),
+                signal: AbortSignal.any([context.signal, silent.signal]),
+            });
+            waiting.end("answered");
+            requireFraming(context, response);
+            return response;
+        }
+        finally {
+            waiting.end("failed");
+        }
+    }
+
     private classify(context: RequestContext, error: unknown): RequestError {
         if (context.signal.aborted && context.signal.reason instanceof RequestError) {
             return context.signal.reason;
@@ -81,3 +108,21 @@
         return createConnectionError(error, "backend-connection-lost");
     }
 }
+
+const BODILESS_STATUSES = new Set([204, 304]);
+
+/**
+ * Checks that the end of an answer can be told from a lost connection.
+ *
+ * @throws RequestError when the answer would end with its connection.
+ */
+function requireFraming(context: RequestContext, response: Dispatcher.ResponseData): void {
+    const { headers, statusCode } = response;
+    const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+    if (!isFramed && context.method !== "HEAD" && !BODILESS_STATUSES.has(statusCode)) {
+        response.body.on("error", () => undefined).destroy();
+        throw RequestError.create("answer-truncated", {
+            detail: "The backend server gave neither a length nor chunks, so that a whole answer cannot be told.",
+        });
+    }
+}
--- a/packages/daemon/src/process/http-pools.ts
+++ b/packages/daemon/src/process/http-pools.ts
@@ -5,7 +5,6 @@
 import type { ResultName } from "@radishrouter/core";
 import { Pool } from "undici";
 
-const KEEP_ALIVE_TIMEOUT_MS = 4_000;
 const CONNECT_TIMEOUT_MS = 1_000;
 
 /** Options of the connections to one server. */
@@ -17,12 +16,13 @@
     readonly localAddress: string;
 }
 
-/** Opens a pool of connections to one server. */
-export function createPool(options: PoolOptions): Pool {
+/** Opens a pool of connections to one server; one that was idle for `idleMs` is closed, whatever the server allows. */
+export function createPool(options: PoolOptions & { readonly idleMs: number; }): Pool {
     return new Pool(`http://${options.address}:${options.port}`, {
         connections: options.connections,
         pipelining: 1,
-        keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+        keepAliveTimeout: options.idleMs,
+        keepAliveMaxTimeout: options.idleMs,
         connect: { timeout: CONNECT_TIMEOUT_MS },
         localAddress: options.localAddress,
         headersTimeout: 0,
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -27,13 +27,14 @@
 import { createOperatorsServer } from "../connection/operators-listener.js";
 import { ConfigurationStore } from "../version/configuration-store.js";
 import { BackendRunner } from "./backend-runner.js";
+import { BackendSilence } from "./backend-silence.js";
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
-import { createPool } from "./http-pools.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
+import { ServerConnections } from "./server-connections.js";
 import type { Settings } from "./settings.js";
 
 const SLOTS_WITHOUT_CONFIGURATION = 1;
@@ -165,12 +166,13 @@
     const membership = MembershipView.create({ ownName: settings.host });
     const identity = { ownName: settings.host, ownAddress: settings.address };
     const forwarder = PeerForwarder.create({ clock, proof, ...identity });
-    const pool = createPool({
+    const connections = ServerConnections.create({
         ...settings.backendServer,
         connections: 512,
         localAddress: settings.address,
     });
-    const runner = BackendRunner.create({ clock, limiter, handles, pool });
+    const silence = BackendSilence.create(clock, () => connections.renew());
+    const runner = BackendRunner.create({ clock, limiter, handles, connections, silence });
     const unkeyed = RequestDispatcher.create({
         clock,
         ownService: settings.service,
--- a/packages/daemon/src/process/peer-forwarder.ts
+++ b/packages/daemon/src/process/peer-forwarder.ts
@@ -3,7 +3,8 @@
  */
 import type { Clock, Host } from "@radishrouter/core";
 import { RequestError, resultNameOf } from "@radishrouter/core";
-import type { Dispatcher, Pool } from "undici";
+import { randomBytes } from "node:crypto";
+import type { Dispatcher } from "undici";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
 import { problemDocumentSchema } from "../request/problem-document.js";
 import { bodyContent } from "../request/request-body.js";
@@ -11,8 +12,12 @@
 import type { Answer, RequestContext } from "../request/request-context.js";
 import { createReturnHeaders } from "../request/request-headers.js";
 import type { DeploymentProof } from "./deployment-proof.js";
-import { createConnectionError, createPool } from "./http-pools.js";
+import { createConnectionError } from "./http-pools.js";
+import { ServerConnections } from "./server-connections.js";
+import { SilenceWatch } from "./silence-watch.js";
 
+/** Retries that stay here, for when the peer never answers; the others go along to the calls further down. */
+const RETRIES_KEPT = 1;
 const CONNECTIONS_PER_PEER = 32;
 
 /** Parts that a forwarder works with. */
@@ -31,7 +36,9 @@
 
 /** Sends requests to other nodes and reads their answers. */
 export class PeerForwarder {
-    private readonly pools = new Map<string, Pool>();
+    private readonly connections = new Map<string, ServerConnections>();
+    private readonly exchangePrefix = randomBytes(6).toString("base64url");
+    private exchanges = 0;
 
     private constructor(private readonly parts: PeerForwarderParts) {}
 
@@ -50,18 +57,13 @@
         body: RequestBody,
         options: ForwardOptions = {},
     ): Promise<Answer> {
-        const retries = context.retryBudget.takePart();
+        const retries = context.retryBudget.takePart(context.retryBudget.left - RETRIES_KEPT);
         try {
-            const response = await this.poolOf(host).request({
-                method: context.method as "GET",
-                path: context.target,
-                headers: {
-                    ...this.createHeaders(context, retries),
-                    ...(options.toKeyOwner ? { [forwardHeaders.keyOwner]: "1" } : {}),
-                },
-                body: bodyContent(body),
-                signal: context.signal,
-            });
+            const headers = {
+                ...this.createHeaders(context, retries),
+                ...(options.toKeyOwner ? { [forwardHeaders.keyOwner]: "1" } : {}),
+            };
+            const response = await this.exchange(host, context, headers, body);
             context.retryBudget.putBack(Number(response.headers[answerHeaders.retriesLeft] ?? 0));
             return await readAnswer(response);
         }
@@ -79,7 +81,38 @@
 
     /** Closes all connections after the requests on them have ended. */
     async close(): Promise<void> {
-        await Promise.all([...this.pools.values()].map(pool => pool.close()));
+        await Promise.all([...this.connections.values()].map(connections => connections.close()));
+    }
+
+    /** Sends a request and resolves with the answer to this very request; gives up on a silent connection. */
+    private async exchange(
+        host: Host,
+        context: RequestContext,
+        headers: Record<string, string | string[]>,
+        body: RequestBody,
+    ): Promise<Dispatcher.ResponseData> {
+        const connections = this.connectionsTo(host);
+        const exchangeId = `${this.exchangePrefix}.${++this.exchanges}`;
+        const watch = SilenceWatch.create(this.parts.clock, host.name);
+        watch.signal.addEventListener("abort", () => connections.renew(), { once: true });
+        try {
+            const response = await connections.poolFor(context.matched.route.idempotent).request({
+                method: context.method as "GET",
+                path: context.target,
+                headers: { ...headers, [forwardHeaders.exchange]: exchangeId },
+                body: bodyContent(body),
+                signal: AbortSignal.any([context.signal, watch.signal]),
+                onInfo: () => watch.proceed(),
+            });
+            if (response.headers[forwardHeaders.exchange] !== exchangeId) {
+                response.body.on("error", () => undefined).destroy();
+                throw RequestError.create("peer-connection-lost", { detail: "The answer was to another request." });
+            }
+            return response;
+        }
+        finally {
+            watch.end();
+        }
     }
 
     private createHeaders(context: RequestContext, retries: number): Record<string, string | string[]> {
@@ -96,19 +129,19 @@
         };
     }
 
-    private poolOf(host: Host): Pool {
+    private connectionsTo(host: Host): ServerConnections {
         const origin = `${host.address}:${host.forwardPort}`;
-        let pool = this.pools.get(origin);
-        if (!pool) {
-            pool = createPool({
+        let connections = this.connections.get(origin);
+        if (!connections) {
+            connections = ServerConnections.create({
                 address: host.address,
                 port: host.forwardPort,
                 connections: CONNECTIONS_PER_PEER,
                 localAddress: this.parts.ownAddress,
             });
-            this.pools.set(origin, pool);
+            this.connections.set(origin, connections);
         }
-        return pool;
+        return connections;
     }
 }
 
--- /dev/null
+++ b/packages/daemon/src/process/server-connections.ts
@@ -0,0 +1,43 @@
+/**
+ * Connections to one server, kept apart by what a request needs to know of a connection before it is put on it.
+ */
+import type { Pool } from "undici";
+import { createPool } from "./http-pools.js";
+import type { PoolOptions } from "./http-pools.js";
+
+/** Idle time after which a connection is not used again for an idempotent request. */
+const IDLE_MS = 4_000;
+/** Idle time after which a connection counts as unproven, so that a non-idempotent request gets a new one. */
+const UNPROVEN_MS = 500;
+
+/** Pools of connections to one server. */
+export class ServerConnections {
+    private idempotent: Pool;
+    private nonIdempotent: Pool;
+
+    private constructor(private readonly options: PoolOptions) {
+        this.idempotent = createPool({ ...options, idleMs: IDLE_MS });
+        this.nonIdempotent = createPool({ ...options, idleMs: UNPROVEN_MS });
+    }
+
+    static create(options: PoolOptions): ServerConnections {
+        return new ServerConnections(options);
+    }
+
+    /** Pool for a request. */
+    poolFor(isIdempotent: boolean): Pool {
+        return isIdempotent ? this.idempotent : this.nonIdempotent;
+    }
+
+    /** Puts no further request on the connections that are open now; those that run may end. */
+    renew(): void {
+        void this.close();
+        this.idempotent = createPool({ ...this.options, idleMs: IDLE_MS });
+        this.nonIdempotent = createPool({ ...this.options, idleMs: UNPROVEN_MS });
+    }
+
+    /** Closes all connections after the requests on them have ended. */
+    async close(): Promise<void> {
+        await Promise.all([this.idempotent.close(), this.nonIdempotent.close()]);
+    }
+}
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -28,6 +28,8 @@
     importance: "radishrouter-importance",
     remainingMs: "radishrouter-remaining-ms",
     retries: "radishrouter-retries",
+    /** Names one exchange; the answer repeats it, so that it cannot be taken for the answer to another request. */
+    exchange: "radishrouter-exchange",
     /** Set when the receiver owns the idempotency key and has to decide whether the request may run. */
     keyOwner: "radishrouter-key-owner",
 } as const;
--- a/packages/daemon/src/request/request-body.ts
+++ b/packages/daemon/src/request/request-body.ts
@@ -28,7 +28,7 @@
     let size = 0;
     const iterator = source.iterator({ destroyOnReturn: false })[Symbol.asyncIterator]();
     for (;;) {
-        const next = await iterator.next() as IteratorResult<Buffer>;
+        const next = await readNext(iterator);
         if (next.done) {
             return { kind: "buffered", content: Buffer.concat(chunks) };
         }
@@ -46,6 +46,18 @@
     }
 }
 
+async function readNext(iterator: AsyncIterator<Buffer>): Promise<IteratorResult<Buffer>> {
+    try {
+        return await iterator.next();
+    }
+    catch {
+        throw RequestError.create("caller-gone", {
+            detail: "The connection ended before the whole request had come.",
+            execution: "not-run",
+        });
+    }
+}
+
 async function* joinChunks(
     chunks: readonly Buffer[],
     sizeSoFar: number,
--- a/packages/testbed/src/fleet/recording-caller.ts
+++ b/packages/testbed/src/fleet/recording-caller.ts
@@ -83,7 +83,7 @@
                 },
                 body: options.method === "POST" ? `booking ${options.requestId}` : undefined,
             });
-            const body = await answer.body.json() as { requestId?: string; code?: number; execution?: string; };
+            const body = parseBody(await answer.body.text());
             if (String(answer.headers["content-type"]).startsWith("application/problem")) {
                 const { code, execution } = body;
                 return { kind: "problem", status: answer.statusCode, code: code ?? 0, execution: String(execution) };
@@ -101,6 +101,16 @@
     }
 }
 
+/** A body that does not parse although its message was complete belongs to no request. */
+function parseBody(text: string): { requestId?: string; code?: number; execution?: string; } {
+    try {
+        return JSON.parse(text) as { requestId?: string; };
+    }
+    catch {
+        return { requestId: "(incomplete body in a complete message)" };
+    }
+}
+
 /** Waits until the logs of the backend servers, which come by pipes, show every request that was answered. */
 export async function waitForLogs(fleet: Fleet, sends: readonly SendRecord[]): Promise<void> {
     const answered = sends.filter(({ result }) => result.kind === "answered").map(({ requestId }) => requestId);
--- a/packages/testbed/src/proxy/fault-proxy.ts
+++ b/packages/testbed/src/proxy/fault-proxy.ts
@@ -25,10 +25,14 @@
     /**
      * `refuse`: new connections are closed and open ones cut; `silence`: open connections carry nothing more while new
      * ones work; `drop`: nothing passes and nothing is closed; `delay`: bytes come `delayMs` later; `reset`: cuts open
-     * connections once.
+     * connections once; `cut`: cuts a connection after `afterBytes` bytes of requests or of answers; `repeat`: passes
+     * each piece of an answer twice.
      */
-    fault: z.enum(["refuse", "silence", "drop", "delay", "reset"]),
+    fault: z.enum(["refuse", "silence", "drop", "delay", "reset", "cut", "repeat"]),
     delayMs: z.number().default(0),
+    afterBytes: z.number().int().min(0).default(0),
+    /** Direction whose bytes count for `cut`. */
+    direction: z.enum(["requests", "answers"]).default("answers"),
 });
 
 /** A fault on connections; see {@link proxyRuleSchema}. */
@@ -42,8 +46,12 @@
     readonly client: Socket;
     readonly server: Socket;
     silenced: boolean;
+    /** Bytes that passed since the connection was opened. */
+    readonly passed: { requests: number; answers: number; };
 }
 
+type Direction = "requests" | "answers";
+
 /** Relays connections under the rules in force. */
 export class FaultProxy {
     private rules: ParsedRule[] = [];
@@ -84,6 +92,8 @@
                 return;
             case "drop":
             case "delay":
+            case "cut":
+            case "repeat":
                 return;
         }
     }
@@ -95,14 +105,24 @@
             return;
         }
         const server = connect({ host: route.toAddress, port: route.toPort, localAddress: from, allowHalfOpen: true });
-        const connection: RelayedConnection = { from, route, client, server, silenced: false };
+        const connection: RelayedConnection = {
+            from,
+            route,
+            client,
+            server,
+            silenced: false,
+            passed: { requests: 0, answers: 0 },
+        };
         this.connections.add(connection);
-        this.pump(connection, client, server);
-        this.pump(connection, server, client);
+        this.pump(connection, client, server, "requests");
+        this.pump(connection, server, client, "answers");
     }
 
-    private pump(connection: RelayedConnection, source: Socket, target: Socket): void {
-        source.on("data", chunk => this.pass(connection, () => target.write(chunk)));
+    private pump(connection: RelayedConnection, source: Socket, target: Socket, direction: Direction): void {
+        source.on(
+            "data",
+            (chunk: Buffer) => this.pass(connection, () => this.write(connection, target, chunk, direction)),
+        );
         source.on("end", () => this.pass(connection, () => target.end()));
         source.on("error", () => this.pass(connection, () => target.destroy()));
         source.on("close", () => {
@@ -113,6 +133,21 @@
         });
     }
 
+    private write(connection: RelayedConnection, target: Socket, chunk: Buffer, direction: Direction): void {
+        const rule = this.faultOn(connection.from, connection.route);
+        const room = (rule?.afterBytes ?? 0) - connection.passed[direction];
+        connection.passed[direction] += chunk.length;
+        if (rule?.fault === "cut" && rule.direction === direction && chunk.length > room) {
+            target.write(chunk.subarray(0, Math.max(0, room)), () => {
+                connection.client.destroy();
+                connection.server.destroy();
+            });
+            return;
+        }
+        const isRepeated = rule?.fault === "repeat" && direction === "answers";
+        target.write(isRepeated ? Buffer.concat([chunk, chunk]) : chunk);
+    }
+
     private pass(connection: RelayedConnection, action: () => void): void {
         const rule = this.faultOn(connection.from, connection.route);
         if (connection.silenced || rule?.fault === "drop") {
--- a/packages/testbed/src/standin/backend-server.ts
+++ b/packages/testbed/src/standin/backend-server.ts
@@ -14,8 +14,11 @@
     slots: z.number().int().positive().default(64),
     /** Targets that each request calls in turn, such as `/items/search`. */
     onwardCalls: z.array(z.string()).default([]),
-    /** `hang`: accepts and never answers; `truncate`: ends answers early. */
-    mode: z.enum(["normal", "hang", "truncate"]).default("normal"),
+    /**
+     * `hang`: accepts and never answers; `truncate`: ends answers early; `unframed`: ends them early and gives neither a
+     * length nor chunks.
+     */
+    mode: z.enum(["normal", "hang", "truncate", "unframed"]).default("normal"),
     /** Bytes of each answer besides its description. */
     answerBytes: z.number().int().min(0).default(0),
 });
@@ -115,6 +118,10 @@
         });
         const body = description + " ".repeat(this.behaviour.answerBytes);
         const length = Buffer.byteLength(body) + (this.behaviour.mode === "truncate" ? 10 : 0);
+        if (this.behaviour.mode === "unframed") {
+            request.socket.end(`HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${body.slice(0, body.length / 2)}`);
+            return;
+        }
         response.writeHead(status, { "content-type": "application/json", "content-length": length });
         if (this.behaviour.mode === "truncate") {
             response.write(body, () => response.destroy());
