--- a/packages/core/src/version/source-compiler.ts
+++ b/packages/core/src/version/source-compiler.ts
@@ -1,9 +1,11 @@
 /**
  * Joins the files beside the services' code into the document that operators publish.
  */
-import type { z } from "zod";
 import { configurationSchema, sourceFileSchema } from "./configuration.js";
 import type { Configuration, SourceFile } from "./configuration.js";
+import { checkConfiguration } from "./source-checks.js";
+import { toProblems } from "./source-problem.js";
+import type { SourceProblem } from "./source-problem.js";
 
 /** One file as it was read. */
 export interface SourceText {
@@ -11,75 +13,95 @@
     readonly text: string;
 }
 
-/** One mistake in a file. */
-export interface SourceProblem {
-    readonly file: string;
-    /** Path to the value within the file, such as `services.items.slots`. */
-    readonly path: string;
-    readonly message: string;
-}
-
 /** What compiling gave: a document, or every mistake that was found. */
 export type CompileResult =
-    | { readonly kind: "compiled"; readonly configuration: Configuration; }
+    | {
+        readonly kind: "compiled";
+        readonly configuration: Configuration;
+        readonly warnings: readonly SourceProblem[];
+    }
     | { readonly kind: "refused"; readonly problems: readonly SourceProblem[]; };
 
-type Section = keyof SourceFile;
+type Section = Exclude<keyof SourceFile, "shareCount">;
 
+/** Everything that the files define, before it is checked as a whole. */
+interface JoinedFiles extends Record<Section, Record<string, unknown>> {
+    shareCount?: number;
+}
+
+const JOINED_FILES = "the joined files";
 const sections: readonly Section[] = ["organisations", "services", "failureDomains"];
 
 /** Checks files and joins them into one version of the configuration. */
 export function compileSources(sources: readonly SourceText[], version: number): CompileResult {
     const problems: SourceProblem[] = [];
-    const joined = {
-        organisations: {} as Record<string, unknown>,
-        services: {} as Record<string, unknown>,
-        failureDomains: {} as Record<string, unknown>,
-    };
+    const joined: JoinedFiles = { organisations: {}, services: {}, failureDomains: {} };
     const origins = new Map<string, string>();
     for (const source of sources) {
         const content = parseSource(source, problems);
+        const target = { file: source.file, joined, origins, problems };
         for (const section of sections) {
-            joinSection(section, content?.[section] ?? {}, { file: source.file, joined, origins, problems });
+            joinSection(section, content?.[section] ?? {}, target);
+        }
+        if (content?.shareCount !== undefined && claimPath("shareCount", target)) {
+            joined.shareCount = content.shareCount;
         }
     }
     if (problems.length > 0) {
         return { kind: "refused", problems };
     }
     const parsed = configurationSchema.safeParse({ version, ...joined });
-    return parsed.success ?
-        { kind: "compiled", configuration: parsed.data } :
-        { kind: "refused", problems: toProblems("the joined files", parsed.error) };
+    if (!parsed.success) {
+        const found = toProblems(JOINED_FILES, parsed.error);
+        return {
+            kind: "refused",
+            problems: found.map(problem => ({ ...problem, file: origins.get(problem.path) ?? JOINED_FILES })),
+        };
+    }
+    return finish(parsed.data, checkConfiguration(parsed.data, path => origins.get(path) ?? JOINED_FILES));
+}
+
+function finish(configuration: Configuration, found: readonly SourceProblem[]): CompileResult {
+    return found.some(problem => problem.severity === "error") ?
+        { kind: "refused", problems: found } :
+        { kind: "compiled", configuration, warnings: found };
 }
 
 interface JoinTarget {
     readonly file: string;
-    readonly joined: Record<Section, Record<string, unknown>>;
+    readonly joined: JoinedFiles;
     readonly origins: Map<string, string>;
     readonly problems: SourceProblem[];
 }
 
 function joinSection(section: Section, records: Record<string, unknown>, target: JoinTarget): void {
     for (const [name, record] of Object.entries(records)) {
-        const path = `${section}.${name}`;
-        const other = target.origins.get(path);
-        if (other !== undefined) {
-            const message = `is already defined in ${other}; keep one of the two`;
-            target.problems.push({ file: target.file, path, message });
-            continue;
+        if (claimPath(`${section}.${name}`, target)) {
+            target.joined[section][name] = record;
         }
-        target.origins.set(path, target.file);
-        target.joined[section][name] = record;
     }
 }
 
+/** Notes which file defines a path; false when another one did before. */
+function claimPath(path: string, target: JoinTarget): boolean {
+    const other = target.origins.get(path);
+    if (other !== undefined) {
+        const message = `is already defined in ${other}; keep one of the two`;
+        target.problems.push({ file: target.file, path, message, severity: "error" });
+        return false;
+    }
+    target.origins.set(path, target.file);
+    return true;
+}
+
 function parseSource(source: SourceText, problems: SourceProblem[]): SourceFile | undefined {
     let content: unknown;
     try {
         content = JSON.parse(source.text);
     }
     catch (error) {
-        problems.push({ file: source.file, path: "", message: `is not JSON: ${(error as Error).message}` });
+        const message = `is not JSON; correct it here: ${(error as Error).message}`;
+        problems.push({ file: source.file, path: "", message, severity: "error" });
         return undefined;
     }
     const parsed = sourceFileSchema.safeParse(content);
@@ -89,7 +111,3 @@
     }
     return parsed.data;
 }
-
-function toProblems(file: string, error: z.ZodError): SourceProblem[] {
-    return error.issues.map(issue => ({ file, path: issue.path.join("."), message: issue.message }));
-}
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -1,7 +1,7 @@
 /**
  * Requests that other nodes forward to the backend server of this host.
  */
-import { importanceSchema, RequestError, RetryBudget, setRepeatingTimer } from "@radishrouter/core";
+import { RequestError, RetryBudget, setRepeatingTimer } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
@@ -10,6 +10,8 @@
 import type { Settings } from "../process/settings.js";
 import { PROGRESS_INTERVAL_MS } from "../process/silence-watch.js";
 import { writeAnswer } from "../request/answer-writer.js";
+import { readForwardedHeaders } from "../request/forwarded-headers.js";
+import type { ForwardedRequest } from "../request/forwarded-headers.js";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
@@ -38,20 +40,34 @@
 }
 
 async function serve(parts: ForwardListenerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const retryBudget = RetryBudget.create(Number(request.headers[forwardHeaders.retries]) || 0);
-    const remainingMs = Number(request.headers[forwardHeaders.remainingMs]) || 0;
+    try {
+        authenticate(parts, request);
+        await serveForwarded(parts, request, response, readForwardedHeaders(request.headers));
+    }
+    catch (error) {
+        sendProblem(response, toRequestError(error), { [forwardHeaders.exchange]: exchangeOf(request) });
+    }
+}
+
+async function serveForwarded(
+    parts: ForwardListenerParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+    forwarded: ForwardedRequest,
+): Promise<void> {
+    const { remainingMs } = forwarded;
+    const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const progress = setRepeatingTimer(parts.clock, PROGRESS_INTERVAL_MS, () => showProgress(response));
     const answerWith = (outcome: string) => ({
-        [forwardHeaders.exchange]: String(request.headers[forwardHeaders.exchange]),
+        [forwardHeaders.exchange]: exchangeOf(request),
         [answerHeaders.outcome]: outcome,
         [answerHeaders.retriesLeft]: String(retryBudget.left),
         [answerHeaders.load]: JSON.stringify(parts.load()),
     });
     try {
-        authenticate(parts, request);
+        const context = createContext(parts, request, forwarded, retryBudget, lifetime.signal);
         const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
-        const context = createContext(parts, request, retryBudget, remainingMs, lifetime.signal);
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
             replayBytes: isKeyOwner ? parts.limits.replayBytes : 0,
@@ -72,6 +88,10 @@
     }
 }
 
+function exchangeOf(request: IncomingMessage): string {
+    return String(request.headers[forwardHeaders.exchange]);
+}
+
 /** Shows the sender, which cannot tell a silent connection from a long run, that this node works on its request. */
 function showProgress(response: ServerResponse): void {
     if (!response.headersSent && !response.destroyed) {
@@ -92,8 +112,8 @@
 function createContext(
     parts: ForwardListenerParts,
     request: IncomingMessage,
+    forwarded: ForwardedRequest,
     retryBudget: RetryBudget,
-    remainingMs: number,
     signal: AbortSignal,
 ): RequestContext {
     const version = parts.version();
@@ -109,13 +129,13 @@
         throw RequestError.create("no-backend-server", { detail: "This host does not run the service." });
     }
     return {
-        organisation: String(request.headers[forwardHeaders.organisation]),
-        importance: importanceSchema.catch("normal").parse(request.headers[forwardHeaders.importance]),
+        organisation: forwarded.organisation,
+        importance: forwarded.importance,
         method: request.method!,
         target: request.url!,
         matched,
         headers: createOnwardHeaders(request.headers, undefined),
-        deadlineMs: parts.clock.nowMs() + remainingMs,
+        deadlineMs: parts.clock.nowMs() + forwarded.remainingMs,
         retryBudget,
         signal,
     };
--- a/packages/daemon/src/connection/operators-listener.ts
+++ b/packages/daemon/src/connection/operators-listener.ts
@@ -1,10 +1,18 @@
 /**
  * What operators ask a node: health, status, report and audit trail. Listens on loopback only.
  */
-import type { AuditTrail, LocalLoad, NodeReport, NodeStatus, OutcomeLedger } from "@radishrouter/core";
+import type {
+    AuditTrail,
+    ConfigurationVersion,
+    LocalLoad,
+    NodeReport,
+    NodeStatus,
+    OutcomeLedger,
+} from "@radishrouter/core";
 import express from "express";
 import type { Server } from "node:http";
 import { createServer } from "node:http";
+import type { MetricsSnapshot } from "../process/metrics.js";
 
 /** Parts that the listener works with. */
 export interface OperatorsListenerParts {
@@ -12,6 +20,8 @@
     readonly audit: AuditTrail;
     readonly load: () => LocalLoad;
     readonly status: () => NodeStatus;
+    readonly version: () => ConfigurationVersion | undefined;
+    readonly metrics: () => MetricsSnapshot;
 }
 
 /** Creates the server for operators. */
@@ -28,6 +38,13 @@
     application.get("/report", (_request, response) => {
         response.json(createReport(parts));
     });
+    application.get("/metrics", (_request, response) => {
+        response.json(parts.metrics());
+    });
+    application.get("/configuration", (_request, response) => {
+        const version = parts.version();
+        response.status(version ? 200 : 503).json(version?.configuration ?? {});
+    });
     application.get("/audit", (request, response) => {
         response.json({ entries: parts.audit.since(Number(request.query["since"]) || 0) });
     });
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -13,7 +13,6 @@
     OutcomeLedger,
     SeatAuthority,
     SeatDirectory,
-    StaticShareLimiter,
     SystemClock,
 } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, NodeStatus, RateLimiter } from "@radishrouter/core";
@@ -31,12 +30,17 @@
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
+import { collectMetrics, MetricsSender } from "./metrics.js";
+import type { MetricsSources } from "./metrics.js";
+import { createRateLimiter } from "./node-rate-limiter.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
 import { ServerConnections } from "./server-connections.js";
 import type { Settings } from "./settings.js";
 
+/** Time for the last control messages to go out at a planned stop. */
+const CONTROL_FLUSH_MS = 150;
 const SLOTS_WITHOUT_CONFIGURATION = 1;
 
 /** The coordination parts of a node, which live as long as its process. */
@@ -65,6 +69,7 @@
     private readonly servers: Server[] = [];
     private controlServer: Http2Server | undefined;
     private stopping = false;
+    private metricsSender: MetricsSender | undefined;
 
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
 
@@ -85,13 +90,16 @@
         void platform.watch(CONFIGURATION_KEY, ({ value }) => store.offer(value, "platform"));
         void platform.watch(HOST_LIST_KEY, ({ value }) => this.applyHostList(value));
         await this.startListeners();
+        this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
     /** Refuses new work, lets running requests end, and closes everything. */
     async stop(): Promise<void> {
         this.stopping = true;
         this.parts.audit.record("process-stopping", this.settings.host, "stop requested");
-        const closed = Promise.all(this.servers.map(closeGracefully));
+        this.parts.rateLimiter.close();
+        const flushed = new Promise(resolve => setTimeout(resolve, CONTROL_FLUSH_MS));
+        const closed = Promise.all([flushed, ...this.servers.map(closeGracefully)]);
         const limit = setTimeout(
             () => this.servers.forEach(server => server.closeAllConnections()),
             this.settings.limits.shutdownMs,
@@ -101,6 +109,7 @@
         this.parts.authority.close();
         this.parts.channels.close();
         this.controlServer?.close();
+        await this.metricsSender?.close();
         await this.parts.platform.close();
         await this.parts.forwarder.close();
     }
@@ -116,10 +125,21 @@
             state: this.stopping ? "stopping" : "running",
             configurationVersion: this.parts.store.current?.configuration.version,
             livePeers: this.parts.membership.livePeers().map(peer => peer.name),
+            rateReadyInMs: Math.min(Number.MAX_SAFE_INTEGER, this.parts.rateLimiter.readyInMs()),
             load: this.parts.limiter.load(),
         };
     }
 
+    private metricsSources(): MetricsSources {
+        const { ledger, limiter, membership, store } = this.parts;
+        return {
+            ledger,
+            load: () => limiter.load(),
+            livePeers: () => membership.livePeers().length,
+            configurationVersion: () => store.current?.configuration.version,
+        };
+    }
+
     private async startListeners(): Promise<void> {
         const { address, loopbackAddress, ports } = this.settings;
         const isStopping = () => this.stopping;
@@ -130,7 +150,8 @@
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
         await this.open(createBackendServer(shared), ports.backend, loopbackAddress);
-        const operators = createOperatorsServer({ ...shared, status: () => this.status() });
+        const metrics = () => collectMetrics(this.metricsSources());
+        const operators = createOperatorsServer({ ...shared, status: () => this.status(), metrics });
         await this.open(operators, ports.operators, loopbackAddress);
         await this.open(createCallerServer(shared), ports.callers, address);
     }
@@ -164,7 +185,15 @@
     const handles = HandleTable.create();
     const proof = DeploymentProof.create(settings.deploymentSecret);
     const membership = MembershipView.create({ ownName: settings.host });
+    const incarnation = BigInt(Date.now());
     const identity = { ownName: settings.host, ownAddress: settings.address };
+    const channels = ControlChannels.create({
+        clock,
+        proof,
+        ...identity,
+        incarnation,
+        findHost: name => membership.find(name),
+    });
     const forwarder = PeerForwarder.create({ clock, proof, ...identity });
     const connections = ServerConnections.create({
         ...settings.backendServer,
@@ -183,14 +212,6 @@
         forwarder,
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
-    const incarnation = BigInt(Date.now());
-    const channels = ControlChannels.create({
-        clock,
-        proof,
-        ...identity,
-        incarnation,
-        findHost: name => membership.find(name),
-    });
     const store = ConfigurationStore.create(audit);
     const { failureDomain, seat, limits } = settings;
     const seats = SeatDirectory.create();
@@ -225,7 +246,7 @@
         ledger: OutcomeLedger.create(),
         store,
         membership,
-        rateLimiter: StaticShareLimiter.create(clock),
+        rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
         channels,
--- a/packages/testbed/src/fleet/fault-fleet.ts
+++ b/packages/testbed/src/fleet/fault-fleet.ts
@@ -90,13 +90,13 @@
     /** Sends an idempotent request. */
     read(host: string, requestId: string, options: Partial<SendOptions> = {}): Promise<SendRecord> {
         const url = `${this.fleet.callerUrl(host)}/back/read/1`;
-        return this.caller.send({ host, url, method: "GET", key: this.key, requestId, ...options });
+        return this.caller.sendWithinRate({ host, url, method: "GET", key: this.key, requestId, ...options });
     }
 
     /** Sends a non-idempotent request. */
     book(host: string, requestId: string, options: Partial<SendOptions> = {}): Promise<SendRecord> {
         const url = `${this.fleet.callerUrl(host)}/back/book/1`;
-        return this.caller.send({ host, url, method: "POST", key: this.key, requestId, ...options });
+        return this.caller.sendWithinRate({ host, url, method: "POST", key: this.key, requestId, ...options });
     }
 
     /** Sends reads and bookings at a steady pace until stopped; resolves when the last has ended. */
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -37,6 +37,10 @@
     readonly proxied?: boolean;
     /** Distinguishes fleets of one process. */
     readonly addressSeed?: number;
+    /** Rate limiter of the nodes; see the settings. */
+    readonly rateLimiter?: "leased" | "static";
+    /** Further settings of the nodes, such as `statsd`. */
+    readonly settings?: Record<string, unknown>;
     /** Environment of the nodes, such as `DEBUG`. */
     readonly environment?: Record<string, string>;
 }
@@ -79,6 +83,7 @@
     private platform: Child | undefined;
     private proxy: Child | undefined;
     private hostRevision = 0;
+    private replacements = 0;
 
     private constructor(private readonly options: FleetOptions) {
         this.addresses = FleetAddresses.create(options.addressSeed ?? process.pid);
@@ -201,6 +206,22 @@
         await host.backend.ready;
     }
 
+    /** Stops a host in order and starts another one, at a new address, in its place. */
+    async replaceHost(name: string, replacement: HostSpecification): Promise<void> {
+        const host = this.host(name);
+        host.node.signal("SIGTERM");
+        await host.node.waitForExit();
+        host.backend.signal("SIGTERM");
+        await host.backend.waitForExit();
+        this.earlierBackends.push(host.backend);
+        this.hosts.delete(name);
+        this.startHost(replacement, this.options.hosts.length + this.replacements++);
+        await this.host(replacement.name).node.ready;
+        await this.host(replacement.name).backend.ready;
+        await this.publishHosts();
+        await this.waitForConfiguration(replacement.name);
+    }
+
     /** What all backend servers ran, also those that have ended. */
     runRecords(): RunRecord[] {
         const backends = [...this.earlierBackends, ...[...this.hosts.values()].map(host => host.backend)];
@@ -250,8 +271,9 @@
     async waitForConfiguration(name: string): Promise<void> {
         await waitFor(async () => {
             const status = await this.status(name);
-            return status.configurationVersion !== undefined && status.livePeers.length >= this.hosts.size - 1;
-        }, `${name} has its configuration and peers`);
+            return status.configurationVersion !== undefined && status.livePeers.length >= this.hosts.size - 1 &&
+                status.rateReadyInMs === 0;
+        }, `${name} has its configuration and peers and mints for its seat`);
     }
 
     private async startProxy(): Promise<void> {
@@ -305,6 +327,8 @@
             platform: { url: `http://${platformAddress}:${ports.platform}` },
             deploymentSecret,
             limits: specification.limits,
+            ...this.options.settings,
+            rateLimiter: this.options.rateLimiter,
         };
         writeFileSync(settingsFile, JSON.stringify(settings));
         this.hosts.set(specification.name, {
--- a/packages/testbed/src/fleet/recording-caller.ts
+++ b/packages/testbed/src/fleet/recording-caller.ts
@@ -1,6 +1,7 @@
 /**
  * A caller that records what it received, and a check of the records against what the backend servers ran.
  */
+import { setTimeout as sleep } from "node:timers/promises";
 import { Agent, request } from "undici";
 import type { RunRecord } from "../standin/backend-server.js";
 import type { Fleet } from "./fleet.js";
@@ -37,6 +38,9 @@
     readonly headers?: Record<string, string>;
 }
 
+const RATE_EXCEEDED = 2001;
+const RATE_PAUSE_MS = 50;
+
 /** Sends requests from the address of the callers and keeps a record of each. */
 export class RecordingCaller {
     readonly records: SendRecord[] = [];
@@ -60,6 +64,17 @@
         return record;
     }
 
+    /** Sends one request, again while its organisation has no tokens at the node; for tests of other things than rates. */
+    async sendWithinRate(options: SendOptions): Promise<SendRecord> {
+        for (;;) {
+            const record = await this.send(options);
+            if (record.result.kind !== "problem" || record.result.code !== RATE_EXCEEDED) {
+                return record;
+            }
+            await sleep(RATE_PAUSE_MS);
+        }
+    }
+
     /** Drops all connections. */
     async close(): Promise<void> {
         await this.agent.destroy();
