--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -1,13 +1,14 @@
 /**
  * Requests that other nodes forward to the backend server of this host.
  */
-import { RequestError, RetryBudget } from "@radishrouter/core";
+import { RequestError, RetryBudget, setRepeatingTimer } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
+import { PROGRESS_INTERVAL_MS } from "../process/silence-watch.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { readForwardedHeaders } from "../request/forwarded-headers.js";
 import type { ForwardedRequest } from "../request/forwarded-headers.js";
@@ -44,7 +45,7 @@
         await serveForwarded(parts, request, response, readForwardedHeaders(request.headers));
     }
     catch (error) {
-        sendProblem(response, toRequestError(error));
+        sendProblem(response, toRequestError(error), { [forwardHeaders.exchange]: exchangeOf(request) });
     }
 }
 
@@ -57,7 +58,9 @@
     const { remainingMs } = forwarded;
     const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
+    const progress = setRepeatingTimer(parts.clock, PROGRESS_INTERVAL_MS, () => showProgress(response));
     const answerWith = (outcome: string) => ({
+        [forwardHeaders.exchange]: exchangeOf(request),
         [answerHeaders.outcome]: outcome,
         [answerHeaders.retriesLeft]: String(retryBudget.left),
         [answerHeaders.load]: JSON.stringify(parts.load()),
@@ -80,10 +83,22 @@
         sendProblem(response, toRequestError(error), answerWith("refused"));
     }
     finally {
+        progress.cancel();
         lifetime.end();
     }
 }
 
+function exchangeOf(request: IncomingMessage): string {
+    return String(request.headers[forwardHeaders.exchange]);
+}
+
+/** Shows the sender, which cannot tell a silent connection from a long run, that this node works on its request. */
+function showProgress(response: ServerResponse): void {
+    if (!response.headersSent && !response.destroyed) {
+        response.writeProcessing();
+    }
+}
+
 function authenticate(parts: ForwardListenerParts, request: IncomingMessage): void {
     const sender = request.headers[forwardHeaders.sender];
     const proof = request.headers[forwardHeaders.proof];
