--- a/packages/core/src/test/share-simulation.ts
+++ b/packages/core/src/test/share-simulation.ts
@@ -180,6 +180,16 @@
         }
     }
 
+    /** Starts one more process, on the lists of all nodes. */
+    addNode(name: string, failureDomain: string, seat: number): SimulatedNode {
+        const node = new SimulatedNode(name, failureDomain, seat, 0, 0, this.nodes[0]!.version);
+        this.nodes.push(node);
+        const list = this.nodes.map(({ name, failureDomain }) => ({ name, failureDomain }));
+        this.nodes.forEach(other => (other.list = list));
+        node.process = new SimulatedProcess(this, node, this.nextIncarnation++);
+        return node;
+    }
+
     schedule(delayMs: number, run: () => void): void {
         const event = { timeMs: this.nowMs + Math.max(0, delayMs), order: this.nextOrder++, run };
         let low = 0;
