--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -1,13 +1,16 @@
 /**
  * Requests that other nodes forward to the backend server of this host.
  */
-import { importanceSchema, RequestError, RetryBudget } from "@radishrouter/core";
+import { RequestError, RetryBudget } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
+import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
+import { readForwardedHeaders } from "../request/forwarded-headers.js";
+import type { ForwardedRequest } from "../request/forwarded-headers.js";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
@@ -24,6 +27,7 @@
     readonly ownService: string;
     readonly proof: DeploymentProof;
     readonly runner: BackendRunner;
+    readonly dispatcher: KeyedDispatcher;
     readonly load: () => LocalLoad;
     readonly version: () => ConfigurationVersion | undefined;
     readonly isStopping: () => boolean;
@@ -35,8 +39,23 @@
 }
 
 async function serve(parts: ForwardListenerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const retryBudget = RetryBudget.create(Number(request.headers[forwardHeaders.retries]) || 0);
-    const remainingMs = Number(request.headers[forwardHeaders.remainingMs]) || 0;
+    try {
+        authenticate(parts, request);
+        await serveForwarded(parts, request, response, readForwardedHeaders(request.headers));
+    }
+    catch (error) {
+        sendProblem(response, toRequestError(error));
+    }
+}
+
+async function serveForwarded(
+    parts: ForwardListenerParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+    forwarded: ForwardedRequest,
+): Promise<void> {
+    const { remainingMs } = forwarded;
+    const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const answerWith = (outcome: string) => ({
         [answerHeaders.outcome]: outcome,
@@ -44,14 +63,16 @@
         [answerHeaders.load]: JSON.stringify(parts.load()),
     });
     try {
-        authenticate(parts, request);
-        const context = createContext(parts, request, retryBudget, remainingMs, lifetime.signal);
+        const context = createContext(parts, request, forwarded, retryBudget, lifetime.signal);
+        const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
-            replayBytes: 0,
+            replayBytes: isKeyOwner ? parts.limits.replayBytes : 0,
             maximumBytes: parts.limits.bodyBytes,
         });
-        const answer = await parts.runner.run(context, body);
+        const answer = isKeyOwner ?
+            await parts.dispatcher.dispatchOwned(context, body) :
+            await parts.runner.run(context, body);
         const headers = { ...answerWith("answered"), [answerHeaders.waitedMs]: String(Math.round(answer.waitedMs)) };
         await writeAnswer(response, answer, lifetime.signal, headers);
     }
@@ -76,8 +97,8 @@
 function createContext(
     parts: ForwardListenerParts,
     request: IncomingMessage,
+    forwarded: ForwardedRequest,
     retryBudget: RetryBudget,
-    remainingMs: number,
     signal: AbortSignal,
 ): RequestContext {
     const version = parts.version();
@@ -88,17 +109,18 @@
         throw RequestError.create("configuration-missing");
     }
     const matched = version.routes.find(request.method ?? "", request.url ?? "");
-    if (!matched || matched.serviceName !== parts.ownService) {
+    const isOwnService = matched?.serviceName === parts.ownService;
+    if (!matched || !(isOwnService || request.headers[forwardHeaders.keyOwner] !== undefined)) {
         throw RequestError.create("no-backend-server", { detail: "This host does not run the service." });
     }
     return {
-        organisation: String(request.headers[forwardHeaders.organisation]),
-        importance: importanceSchema.catch("normal").parse(request.headers[forwardHeaders.importance]),
+        organisation: forwarded.organisation,
+        importance: forwarded.importance,
         method: request.method!,
         target: request.url!,
         matched,
         headers: createOnwardHeaders(request.headers, undefined),
-        deadlineMs: parts.clock.nowMs() + remainingMs,
+        deadlineMs: parts.clock.nowMs() + forwarded.remainingMs,
         retryBudget,
         signal,
     };
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -7,9 +7,12 @@
     CONFIGURATION_KEY,
     HOST_LIST_KEY,
     hostListSchema,
+    IdempotencyTable,
     LoadBalancer,
     MembershipView,
     OutcomeLedger,
+    SeatAuthority,
+    SeatDirectory,
     SystemClock,
 } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, NodeStatus, RateLimiter } from "@radishrouter/core";
@@ -26,6 +29,9 @@
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
+import { KeyedDispatcher } from "./keyed-dispatcher.js";
+import { collectMetrics, MetricsSender } from "./metrics.js";
+import type { MetricsSources } from "./metrics.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
@@ -48,7 +54,9 @@
     readonly platform: PlatformReader;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
-    readonly dispatcher: RequestDispatcher;
+    readonly dispatcher: KeyedDispatcher;
+    readonly seats: SeatDirectory;
+    readonly authority: SeatAuthority;
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
     readonly proof: DeploymentProof;
@@ -60,6 +68,7 @@
     private readonly servers: Server[] = [];
     private controlServer: Http2Server | undefined;
     private stopping = false;
+    private metricsSender: MetricsSender | undefined;
 
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
 
@@ -80,6 +89,7 @@
         void platform.watch(CONFIGURATION_KEY, ({ value }) => store.offer(value, "platform"));
         void platform.watch(HOST_LIST_KEY, ({ value }) => this.applyHostList(value));
         await this.startListeners();
+        this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
     /** Refuses new work, lets running requests end, and closes everything. */
@@ -95,8 +105,10 @@
         );
         await closed;
         clearTimeout(limit);
+        this.parts.authority.close();
         this.parts.channels.close();
         this.controlServer?.close();
+        await this.metricsSender?.close();
         await this.parts.platform.close();
         await this.parts.forwarder.close();
     }
@@ -117,6 +129,16 @@
         };
     }
 
+    private metricsSources(): MetricsSources {
+        const { ledger, limiter, membership, store } = this.parts;
+        return {
+            ledger,
+            load: () => limiter.load(),
+            livePeers: () => membership.livePeers().length,
+            configurationVersion: () => store.current?.configuration.version,
+        };
+    }
+
     private async startListeners(): Promise<void> {
         const { address, loopbackAddress, ports } = this.settings;
         const isStopping = () => this.stopping;
@@ -127,7 +149,8 @@
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
         await this.open(createBackendServer(shared), ports.backend, loopbackAddress);
-        const operators = createOperatorsServer({ ...shared, status: () => this.status() });
+        const metrics = () => collectMetrics(this.metricsSources());
+        const operators = createOperatorsServer({ ...shared, status: () => this.status(), metrics });
         await this.open(operators, ports.operators, loopbackAddress);
         await this.open(createCallerServer(shared), ports.callers, address);
     }
@@ -149,6 +172,7 @@
         const list = hostListSchema.safeParse(value);
         if (list.success) {
             this.parts.membership.setPlatformList(list.data);
+            this.parts.seats.setPlatformList(list.data);
         }
     }
 }
@@ -176,7 +200,7 @@
         localAddress: settings.address,
     });
     const runner = BackendRunner.create({ clock, limiter, handles, pool });
-    const dispatcher = RequestDispatcher.create({
+    const unkeyed = RequestDispatcher.create({
         clock,
         ownService: settings.service,
         ownFailureDomain: settings.failureDomain,
@@ -186,16 +210,46 @@
         forwarder,
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
+    const store = ConfigurationStore.create(audit);
+    const { failureDomain, seat, limits } = settings;
+    const seats = SeatDirectory.create();
+    const authority = SeatAuthority.create({
+        clock,
+        transport: channels,
+        failureDomain,
+        seat,
+        incarnation,
+        retentionMs: limits.idempotencyKeyMs,
+        livePeers: () => seats.isKnown ? membership.livePeers() : undefined,
+    });
+    const dispatcher = KeyedDispatcher.create({
+        clock,
+        dispatcher: unkeyed,
+        forwarder,
+        authority,
+        seats,
+        table: IdempotencyTable.create(clock, {
+            retentionMs: limits.idempotencyKeyMs,
+            maximumKeys: limits.idempotencyKeys,
+            maximumAnswerBytes: limits.idempotencyAnswerBytes,
+        }),
+        findHost: name => membership.find(name),
+        failureDomains: () => store.current?.configuration.failureDomains ?? {},
+        identity: { host: settings.host, incarnation, failureDomain, seat },
+        issuedKeyMs: limits.idempotencyKeyMs,
+    });
     return {
         clock,
         audit,
         ledger: OutcomeLedger.create(),
-        store: ConfigurationStore.create(audit),
+        store,
         membership,
         rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
         channels,
+        seats,
+        authority,
         forwarder,
         dispatcher,
         runner,
