Spread membership and configuration among nodes, with few readers of the platform

Cause: each node watched the platform for itself, which 28,000 nodes cannot do at 2,000 reads a second, and believed any answer, also a stale one after a restart; a failed or draining host kept getting work until the platform's list said so.

Change: three readers in each failure domain watch; the others learn by pushes and digests, as changed records. Only a higher version is adopted; the same version with other content and a document that does not have its hash are refused and audited. A starting node asks peers before it believes the platform. Heartbeats go to three ring successors, a silence is confirmed through other peers, beliefs are ordered by incarnation and spread among neighbours; watchers in each failure domain report others that cannot be reached. Requests in progress end with 3007 when their key is withdrawn. One control stream carries both directions of a pair of nodes.

Proof: packages/core/src/test/fleet-state.test.ts, schedules of loss, delay, duplicates, restarts, pauses, cuts and stale platform answers. Fails with each of these switched off in turn: the version order, the startup gate, the distrust after a pause, the retry of failed hosts, the contradiction of false beliefs, the order of incarnations, the reports on failure domains, the digests, the comparison of hashes, the pushes, the indirect probes. Passes with them.

--- a/packages/core/src/process/audit-trail.ts
+++ b/packages/core/src/process/audit-trail.ts
@@ -24,6 +24,8 @@
         "host-left",
         "host-draining",
         "host-failed",
+        "failure-domain-unreachable",
+        "failure-domain-reachable",
         "limit-changed",
         "request-quarantined",
         "request-cleared",
--- /dev/null
+++ b/packages/core/src/process/document-replica.ts
@@ -0,0 +1,159 @@
+/**
+ * The copy of one published document that a node has in force; it only ever moves to a higher version.
+ */
+import type { CheckedDocument, DocumentShape } from "../version/document-shape.js";
+import type { DocumentChange, DocumentRecord } from "../version/published-document.js";
+import { PublishedDocument } from "../version/published-document.js";
+
+/** What became of a document that was offered. */
+export type OfferOutcome =
+    | "adopted"
+    | "not-newer"
+    /** Refused: the version in force has the same number and other content. */
+    | "conflict"
+    /** Refused: not a valid document, or not the one that its hash promises. */
+    | "invalid"
+    /** The change builds on another version than the one in force. */
+    | "base-differs";
+
+/** Callbacks and the kind of a replica. */
+export interface DocumentReplicaOptions<Content> {
+    readonly shape: DocumentShape<Content>;
+    /** Called when a version has come into force, before anything else learns of it. */
+    readonly onAdopted: (content: Content, source: string) => void;
+    /** Called when a document was refused, with the reason. */
+    readonly onRefused: (source: string, problem: string) => void;
+}
+
+const MAXIMUM_LOGGED_CHANGES = 32;
+const MAXIMUM_LOGGED_RECORDS = 2_000;
+
+/** Holds the version in force and the changes that led to it. */
+export class DocumentReplica<Content = unknown> {
+    private document = PublishedDocument.empty();
+    private changes: DocumentChange[] = [];
+    private lastProblem = "";
+
+    private constructor(private readonly options: DocumentReplicaOptions<Content>) {}
+
+    static create<Content>(options: DocumentReplicaOptions<Content>): DocumentReplica<Content> {
+        return new DocumentReplica(options);
+    }
+
+    get kind(): DocumentShape<Content>["kind"] {
+        return this.options.shape.kind;
+    }
+
+    /** Version in force; 0 before the first. */
+    get version(): number {
+        return this.document.version;
+    }
+
+    /** Hash of the version in force. */
+    get hash(): Buffer {
+        return this.document.hash;
+    }
+
+    /** Offers a whole document as the platform holds it. */
+    offerValue(value: unknown, source: string): OfferOutcome {
+        const checked = this.options.shape.check(value);
+        if (checked.kind === "invalid") {
+            return this.refuse("invalid", source, checked.problem);
+        }
+        const next = PublishedDocument.create(checked.version, this.options.shape.split(value));
+        return this.adopt(next, checked, source);
+    }
+
+    /** Offers a change that another node sent. */
+    offerChange(change: DocumentChange, source: string): OfferOutcome {
+        if (change.version < this.version) {
+            return "not-newer";
+        }
+        if (change.version === this.version) {
+            return this.compareHash(change.hash, source);
+        }
+        if (change.fromVersion !== 0 && change.fromVersion !== this.version) {
+            return "base-differs";
+        }
+        const base = change.fromVersion === 0 ? PublishedDocument.empty() : this.document;
+        const next = base.with(change.version, change.records);
+        if (!next.hash.equals(change.hash)) {
+            // A base of the same number but other content leads to another hash, too; the whole document decides.
+            return change.fromVersion === 0 ?
+                this.refuse(
+                    "invalid",
+                    source,
+                    `version ${change.version} does not have the hash that it was sent with`,
+                ) :
+                "base-differs";
+        }
+        return this.adopt(next, this.checkRecords(next), source);
+    }
+
+    /** What a node that has a version needs for the one in force; the whole document if the changes are not known. */
+    changeFrom(version: number): DocumentChange {
+        const first = this.changes.findIndex(change => change.fromVersion === version);
+        if (version === 0 || first < 0) {
+            return { fromVersion: 0, version: this.version, hash: this.hash, records: this.document.records() };
+        }
+        const latest = new Map<string, DocumentRecord>();
+        for (const record of this.changes.slice(first).flatMap(change => change.records)) {
+            latest.set(`${record.section}/${record.name}`, record);
+        }
+        return { fromVersion: version, version: this.version, hash: this.hash, records: [...latest.values()] };
+    }
+
+    /** Compares the hash of another copy of the version in force; a different one is reported as a conflict. */
+    compareHash(hash: Uint8Array, source: string): OfferOutcome {
+        if (this.hash.equals(hash)) {
+            return "not-newer";
+        }
+        return this.refuse("conflict", source, `version ${this.version} was published before with other content`);
+    }
+
+    private checkRecords(document: PublishedDocument): CheckedDocument<Content> {
+        try {
+            return this.options.shape.check(this.options.shape.join(document.version, document.records()));
+        }
+        catch (error) {
+            return { kind: "invalid", problem: String(error) };
+        }
+    }
+
+    private adopt(next: PublishedDocument, checked: CheckedDocument<Content>, source: string): OfferOutcome {
+        if (checked.kind === "invalid") {
+            return this.refuse("invalid", source, checked.problem);
+        }
+        if (next.version < this.version) {
+            return "not-newer";
+        }
+        if (next.version === this.version) {
+            return this.compareHash(next.hash, source);
+        }
+        this.log(next);
+        this.document = next;
+        this.options.onAdopted(checked.content, source);
+        return "adopted";
+    }
+
+    /** Reports a problem once, since nodes and the platform repeat what they offer. */
+    private refuse(outcome: "conflict" | "invalid", source: string, problem: string): OfferOutcome {
+        if (this.lastProblem !== problem) {
+            this.lastProblem = problem;
+            this.options.onRefused(source, problem);
+        }
+        return outcome;
+    }
+
+    private log(next: PublishedDocument): void {
+        const records = next.changesSince(this.document);
+        if (this.version === 0 || records.length > MAXIMUM_LOGGED_RECORDS) {
+            this.changes = [];
+            return;
+        }
+        this.changes.push({ fromVersion: this.version, version: next.version, hash: next.hash, records });
+        if (this.changes.length > MAXIMUM_LOGGED_CHANGES) {
+            this.changes.shift();
+        }
+    }
+}
--- /dev/null
+++ b/packages/core/src/process/rendezvous-hash.ts
@@ -0,0 +1,29 @@
+/**
+ * Rendezvous hashing: nodes that hold the same list choose the same hosts without talking to each other.
+ */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** Score of a name for a key, from 0 to 2^32 - 1; independent for each key. */
+export function rendezvousScore(key: string, name: string): number {
+    const text = `${key}\n${name}`;
+    let hash = FNV_OFFSET;
+    for (let index = 0; index < text.length; index++) {
+        hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+    }
+    hash ^= hash >>> 16;
+    hash = Math.imul(hash, 0x7feb352d);
+    hash ^= hash >>> 15;
+    hash = Math.imul(hash, 0x846ca68b);
+    return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** The names with the highest scores for a key, the highest first. */
+export function highestScores(key: string, names: readonly string[], count: number): string[] {
+    return names
+        .map(name => ({ name, score: rendezvousScore(key, name) }))
+        .sort((left, right) => right.score - left.score || (left.name < right.name ? -1 : 1))
+        .slice(0, count)
+        .map(({ name }) => name);
+}
--- /dev/null
+++ b/packages/core/src/version/document-shape.ts
@@ -0,0 +1,85 @@
+/**
+ * How each kind of published document is checked, taken apart into records and put together again.
+ */
+import { DocumentKind } from "@radishrouter/protocol";
+import type { z } from "zod";
+import type { Configuration } from "./configuration.js";
+import { configurationSchema } from "./configuration.js";
+import type { HostList } from "./host-list.js";
+import { hostListSchema } from "./host-list.js";
+import type { DocumentRecord } from "./published-document.js";
+
+/** A document that was checked, or what is wrong with it. */
+export type CheckedDocument<Content> =
+    | { readonly kind: "valid"; readonly version: number; readonly content: Content; }
+    | { readonly kind: "invalid"; readonly problem: string; };
+
+/** One kind of document. */
+export interface DocumentShape<Content> {
+    readonly kind: DocumentKind;
+    /** Checks a whole document as it was published. */
+    check(value: unknown): CheckedDocument<Content>;
+    /** Records of a document that was checked. */
+    split(value: unknown): DocumentRecord[];
+    /** The document as it was published. */
+    join(version: number, records: readonly DocumentRecord[]): unknown;
+}
+
+function checkWith<Content>(
+    schema: z.ZodType<Content>,
+    value: unknown,
+    versionOf: (content: Content) => number,
+): CheckedDocument<Content> {
+    const parsed = schema.safeParse(value);
+    if (!parsed.success) {
+        const issue = parsed.error.issues[0];
+        return { kind: "invalid", problem: issue ? `${issue.path.join(".")}: ${issue.message}` : "invalid" };
+    }
+    return { kind: "valid", version: versionOf(parsed.data), content: parsed.data };
+}
+
+const configurationSections = ["organisations", "services", "failureDomains"] as const;
+
+/** The configuration that operators publish; its records are organisations, services and failure domains. */
+export const configurationShape: DocumentShape<Configuration> = {
+    kind: DocumentKind.CONFIGURATION,
+    check: value => checkWith(configurationSchema, value, content => content.version),
+    split: value => {
+        const document = value as Record<string, Record<string, unknown>>;
+        return configurationSections.flatMap(section =>
+            Object.entries(document[section]!).map(([name, content]) => ({
+                section,
+                name,
+                json: JSON.stringify(content),
+            }))
+        );
+    },
+    join: (version, records) => {
+        const inSection = (section: string) =>
+            Object.fromEntries(
+                records.filter(record => record.section === section).map(record => [
+                    record.name,
+                    JSON.parse(record.json) as unknown,
+                ]),
+            );
+        return { version, ...Object.fromEntries(configurationSections.map(name => [name, inSection(name)])) };
+    },
+};
+
+const HOSTS_SECTION = "hosts";
+
+/** The platform's list of hosts; its records are hosts. */
+export const hostListShape: DocumentShape<HostList> = {
+    kind: DocumentKind.HOST_LIST,
+    check: value => checkWith(hostListSchema, value, content => content.revision),
+    split: value =>
+        (value as HostList).hosts.map(host => ({
+            section: HOSTS_SECTION,
+            name: host.name,
+            json: JSON.stringify(host),
+        })),
+    join: (revision, records) => ({
+        revision,
+        hosts: records.map(record => JSON.parse(record.json) as unknown),
+    }),
+};
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -13,6 +13,7 @@
 } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
+import type { OpenRequests } from "../process/open-requests.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { DEADLINE_HEADER, ISSUED_KEYS_TARGET } from "../request/header-names.js";
@@ -31,6 +32,7 @@
     readonly limits: Settings["limits"];
     readonly ledger: OutcomeLedger;
     readonly rateLimiter: RateLimiter;
+    readonly openRequests: OpenRequests;
     readonly dispatcher: KeyedDispatcher;
     /** Configuration in force; undefined until the first one has arrived. */
     readonly version: () => ConfigurationVersion | undefined;
@@ -172,6 +174,7 @@
     const { matched, key } = admission;
     const remainingMs = readDeadlineMs(request.headers[DEADLINE_HEADER], matched.route.deadlineMs);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
+    const endOpen = openRequest(parts, admission, lifetime);
     try {
         const context = {
             organisation: admission.identity?.organisation ?? OPEN_ORGANISATION,
@@ -198,10 +201,24 @@
         entry.close(answer.status >= 500 ? { kind: "failed", status: answer.status } : { kind: "completed", delayed });
     }
     finally {
+        endOpen();
         lifetime.end();
     }
 }
 
+/** Makes the request end when its key is withdrawn, also if that happened since it was admitted. */
+function openRequest(parts: CallerListenerParts, admission: Admission, lifetime: RequestLifetime): () => void {
+    const keyId = admission.identity?.keyId;
+    if (keyId === undefined) {
+        return () => undefined;
+    }
+    if (parts.version()?.keys.has(keyId) === false) {
+        lifetime.end();
+        throw RequestError.create("key-invalid");
+    }
+    return parts.openRequests.add(keyId, lifetime);
+}
+
 /** Whether a request announces a body. */
 export function hasBody(request: IncomingMessage): boolean {
     const length = request.headers["content-length"];
--- a/packages/daemon/src/connection/control-channels.ts
+++ b/packages/daemon/src/connection/control-channels.ts
@@ -1,16 +1,28 @@
 /**
- * Control streams to and from other nodes: one long-lived stream for each peer, everything for it in one batch a tick.
+ * Control streams to and from other nodes: one long-lived stream for each pair of nodes, which carries both directions,
+ * and everything for a peer in one batch a tick.
  */
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { Code, ConnectError, createClient } from "@connectrpc/connect";
-import { connectNodeAdapter, createConnectTransport } from "@connectrpc/connect-node";
-import type { Clock, ControlTransport, Host, ReceivedMessage, Timer } from "@radishrouter/core";
+import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import type { Clock, ControlTransport, ReceivedMessage, Timer } from "@radishrouter/core";
+import { setRepeatingTimer } from "@radishrouter/core";
 import { ControlBatchSchema, ControlMessageSchema, ControlService } from "@radishrouter/protocol";
 import type { ControlBatch, ControlMessage } from "@radishrouter/protocol";
 import { createServer } from "node:http2";
-import type { Http2Server } from "node:http2";
+import type { ClientSessionOptions, Http2Server } from "node:http2";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import type { DeploymentProof } from "../process/deployment-proof.js";
+import { ControlOutbox } from "./control-outbox.js";
+import { ControlTraffic } from "./control-traffic.js";
+
+/** Where the control listener of a node is. */
+export interface ControlAddress {
+    readonly address: string;
+    readonly controlPort: number;
+}
 
 /** Parts and settings of the channels. */
 export interface ControlChannelsOptions {
@@ -19,72 +31,45 @@
     readonly ownAddress: string;
     readonly incarnation: bigint;
     readonly proof: DeploymentProof;
-    readonly findHost: (name: string) => Host | undefined;
+    readonly findHost: (name: string) => ControlAddress | undefined;
+}
+
+/** Delay before a stream to a host is opened again. */
+interface ReconnectDelay {
+    readonly notBeforeMs: number;
+    readonly delayMs: number;
 }
 
-const TICK_MS = 50;
+const CHECK_INTERVAL_MS = 1_000;
 const IDLE_CLOSE_MS = 60_000;
+const SILENT_CLOSE_MS = 8_000;
+const INCOMING_FRESH_MS = 5_000;
 const CONNECT_TIMEOUT_MS = 2_000;
-
-/** Messages that wait for the next tick of one stream. */
-class Outbox {
-    private messages: ControlMessage[] = [];
-    private wake: (() => void) | undefined;
-    private closed = false;
-    lastUsedMs: number;
-
-    private constructor(private readonly clock: Clock) {
-        this.lastUsedMs = clock.nowMs();
-    }
-
-    static create(clock: Clock): Outbox {
-        return new Outbox(clock);
-    }
-
-    push(message: ControlMessage): void {
-        this.messages.push(message);
-        this.lastUsedMs = this.clock.nowMs();
-        this.wake?.();
-    }
-
-    close(): void {
-        this.closed = true;
-        this.wake?.();
-    }
-
-    /** Yields what has gathered, at most once a tick, until closed. */
-    async *batches(): AsyncGenerator<ControlMessage[]> {
-        while (!this.closed) {
-            if (this.messages.length === 0) {
-                await new Promise<void>(resolve => (this.wake = resolve));
-            }
-            await new Promise<void>(resolve => this.clock.setTimer(TICK_MS, resolve));
-            const batch = this.messages;
-            this.messages = [];
-            if (batch.length > 0) {
-                yield batch;
-            }
-        }
-    }
-}
+const FIRST_RECONNECT_DELAY_MS = 200;
+const MAXIMUM_RECONNECT_DELAY_MS = 5_000;
 
 /** Sends and receives control messages over connect-es streams. */
 export class ControlChannels implements ControlTransport {
-    private readonly outboxes = new Map<string, Outbox>();
+    /** Streams that this node opened, by host name. */
+    private readonly outgoing = new Map<string, ControlOutbox>();
+    /** Streams that peers opened, by host name; their answering direction carries messages to the peer. */
+    private readonly incoming = new Map<string, ControlOutbox>();
+    private readonly reconnectDelays = new Map<string, ReconnectDelay>();
     private readonly listeners = new Set<(received: ReceivedMessage) => void>();
     private readonly controller = new AbortController();
-    private readonly idleTimer: Timer;
-    /** Bytes of batches sent and received, without HTTP/2 framing. */
-    readonly traffic = { sentBatches: 0, receivedBatches: 0, sentMessages: 0, receivedMessages: 0 };
+    private readonly checkTimer: Timer;
+    /** Counts batches, messages and bytes. */
+    readonly traffic = ControlTraffic.create();
 
     private constructor(private readonly options: ControlChannelsOptions) {
-        this.idleTimer = options.clock.setTimer(IDLE_CLOSE_MS, () => this.closeIdle());
+        this.checkTimer = setRepeatingTimer(options.clock, CHECK_INTERVAL_MS, () => this.closeUnused());
     }
 
     static create(options: ControlChannelsOptions): ControlChannels {
         return new ControlChannels(options);
     }
 
+    /** Queues a message for a host; it is dropped while the host cannot be reached. */
     send(host: string, body: ControlMessage["body"]): void {
         if (this.controller.signal.aborted || host === this.options.ownName) {
             return;
@@ -100,44 +85,57 @@
     /** Creates the server for streams of other nodes. */
     createServer(): Http2Server {
         const routes = (router: ConnectRouter) => {
-            router.service(ControlService, { exchange: requests => this.receiveAll(requests) });
+            router.service(ControlService, { exchange: requests => this.serveStream(requests) });
         };
-        return createServer(connectNodeAdapter({ routes }));
+        const server = createServer(connectNodeAdapter({ routes }));
+        server.on("connection", (socket: Socket) => this.traffic.add(socket));
+        server.on("sessionError", () => undefined);
+        return server;
     }
 
     /** Ends all streams. */
     close(): void {
         this.controller.abort();
-        this.idleTimer.cancel();
-        for (const outbox of this.outboxes.values()) {
+        this.checkTimer.cancel();
+        for (const outbox of [...this.outgoing.values(), ...this.incoming.values()]) {
             outbox.close();
         }
-        this.outboxes.clear();
+        this.outgoing.clear();
+        this.incoming.clear();
     }
 
-    private outboxTo(name: string): Outbox | undefined {
-        const existing = this.outboxes.get(name);
+    private outboxTo(name: string): ControlOutbox | undefined {
+        const own = this.outgoing.get(name);
+        if (own) {
+            return own;
+        }
+        const theirs = this.incoming.get(name);
+        if (theirs && !theirs.isClosed && theirs.silentMs < INCOMING_FRESH_MS) {
+            return theirs;
+        }
         const host = this.options.findHost(name);
-        if (existing || !host) {
-            return existing;
+        const delay = this.reconnectDelays.get(name);
+        if (!host || (delay && this.options.clock.nowMs() < delay.notBeforeMs)) {
+            return undefined;
         }
-        const outbox = Outbox.create(this.options.clock);
-        this.outboxes.set(name, outbox);
-        void this.runStream(host, outbox);
+        const outbox = ControlOutbox.create(this.options.clock);
+        this.outgoing.set(name, outbox);
+        void this.runStream(name, host, outbox);
         return outbox;
     }
 
-    /** Task of one peer: sends its batches until the stream fails or is closed. */
-    private async runStream(host: Host, outbox: Outbox): Promise<void> {
-        const transport = createConnectTransport({
-            baseUrl: `http://${host.address}:${host.controlPort}`,
-            httpVersion: "2",
-            nodeOptions: { localAddress: this.options.ownAddress, timeout: CONNECT_TIMEOUT_MS } as object,
-        });
+    /** Task of one peer: exchanges batches until the stream fails or is closed. */
+    private async runStream(name: string, host: ControlAddress, outbox: ControlOutbox): Promise<void> {
+        const baseUrl = `http://${host.address}:${host.controlPort}`;
+        const sessionManager = new Http2SessionManager(baseUrl, {}, this.createSessionOptions(host));
+        const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager });
         const client = createClient(ControlService, transport);
+        outbox.whenClosed(() => sessionManager.abort());
         try {
-            const answers = client.exchange(this.createBatches(outbox), { signal: this.controller.signal });
-            for await (const batch of answers) {
+            const signal = this.controller.signal;
+            for await (const batch of client.exchange(this.createBatches(outbox), { signal })) {
+                this.reconnectDelays.delete(name);
+                outbox.received();
                 this.deliver(batch);
             }
         }
@@ -146,35 +144,101 @@
         }
         finally {
             outbox.close();
-            if (this.outboxes.get(host.name) === outbox) {
-                this.outboxes.delete(host.name);
+            this.delayReconnect(name);
+            if (this.outgoing.get(name) === outbox) {
+                this.outgoing.delete(name);
             }
         }
     }
 
-    private async *createBatches(outbox: Outbox): AsyncGenerator<ControlBatch> {
+    private createSessionOptions(host: ControlAddress): ClientSessionOptions {
+        return {
+            createConnection: () => {
+                const localAddress = this.options.ownAddress;
+                const socket = connect({ host: host.address, port: host.controlPort, localAddress, noDelay: true });
+                const timer = this.options.clock.setTimer(
+                    CONNECT_TIMEOUT_MS,
+                    () => socket.destroy(new Error("timed out")),
+                );
+                socket.once("connect", () => timer.cancel());
+                this.traffic.add(socket);
+                return socket;
+            },
+        };
+    }
+
+    private delayReconnect(name: string): void {
+        const lastMs = this.reconnectDelays.get(name)?.delayMs ?? 0;
+        const delayMs = Math.min(Math.max(lastMs * 2, FIRST_RECONNECT_DELAY_MS), MAXIMUM_RECONNECT_DELAY_MS);
+        const notBeforeMs = this.options.clock.nowMs() + delayMs * (0.5 + Math.random() / 2);
+        this.reconnectDelays.set(name, { notBeforeMs, delayMs });
+    }
+
+    private async *createBatches(outbox: ControlOutbox): AsyncGenerator<ControlBatch> {
         const { ownName, incarnation, proof } = this.options;
+        let isFirst = true;
         for await (const messages of outbox.batches()) {
-            this.traffic.sentBatches++;
-            this.traffic.sentMessages += messages.length;
-            yield create(ControlBatchSchema, { sender: ownName, incarnation, proof: proof.proofOf(ownName), messages });
+            this.traffic.countSent(messages.length);
+            yield create(ControlBatchSchema, {
+                sender: ownName,
+                incarnation,
+                proof: isFirst ? proof.proofOf(ownName) : undefined,
+                messages,
+            });
+            isFirst = false;
         }
     }
 
-    /** Task of one incoming stream; answers go out on this node's own stream to the sender. */
+    /** Task of one incoming stream: its answering direction carries what this node has for the sender. */
+    private async *serveStream(requests: AsyncIterable<ControlBatch>): AsyncGenerator<ControlBatch> {
+        const outbox = ControlOutbox.create(this.options.clock);
+        let failure: unknown;
+        this.consume(requests, outbox).catch(error => (failure = error));
+        try {
+            yield* this.createBatches(outbox);
+        }
+        finally {
+            outbox.close();
+        }
+        if (failure) {
+            throw failure;
+        }
+    }
 
-    private async *receiveAll(requests: AsyncIterable<ControlBatch>): AsyncGenerator<ControlBatch> {
-        for await (const batch of requests) {
-            if (!this.options.proof.verify(batch.sender, batch.proof)) {
-                throw new ConnectError("the sender is not a node of this deployment", Code.PermissionDenied);
+    private async consume(requests: AsyncIterable<ControlBatch>, outbox: ControlOutbox): Promise<void> {
+        let sender: string | undefined;
+        try {
+            for await (const batch of requests) {
+                if (outbox.isClosed) {
+                    return;
+                }
+                sender ??= this.authenticate(batch);
+                if (batch.sender !== sender) {
+                    throw new ConnectError("one stream carries batches of one sender", Code.PermissionDenied);
+                }
+                this.incoming.set(sender, outbox);
+                outbox.received();
+                this.deliver(batch);
+            }
+        }
+        finally {
+            outbox.close();
+            if (sender !== undefined && this.incoming.get(sender) === outbox) {
+                this.incoming.delete(sender);
             }
-            this.deliver(batch);
         }
     }
 
+    /** Name of the sender that a first batch proves. */
+    private authenticate(batch: ControlBatch): string {
+        if (!this.options.proof.verify(batch.sender, batch.proof)) {
+            throw new ConnectError("the sender is not a node of this deployment", Code.PermissionDenied);
+        }
+        return batch.sender;
+    }
+
     private deliver(batch: ControlBatch): void {
-        this.traffic.receivedBatches++;
-        this.traffic.receivedMessages += batch.messages.length;
+        this.traffic.countReceived(batch.messages.length);
         for (const message of batch.messages) {
             const received = { sender: batch.sender, incarnation: batch.incarnation, message };
             for (const listener of this.listeners) {
@@ -183,12 +247,14 @@
         }
     }
 
-    private closeIdle(): void {
-        const oldestMs = this.options.clock.nowMs() - IDLE_CLOSE_MS;
-        for (const [name, outbox] of this.outboxes) {
-            if (outbox.lastUsedMs < oldestMs) {
-                this.outboxes.delete(name);
-                outbox.close();
+    /** Closes streams that nobody uses, and those that carry nothing back although the peer should have answered. */
+    private closeUnused(): void {
+        for (const streams of [this.outgoing, this.incoming]) {
+            for (const [name, outbox] of streams) {
+                if (outbox.idleMs > IDLE_CLOSE_MS || outbox.silentMs > SILENT_CLOSE_MS) {
+                    streams.delete(name);
+                    outbox.close();
+                }
             }
         }
     }
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -4,35 +4,39 @@
 import {
     AuditTrail,
     ConcurrencyLimiter,
-    CONFIGURATION_KEY,
-    HOST_LIST_KEY,
-    hostListSchema,
     IdempotencyTable,
     LoadBalancer,
-    MembershipView,
     OutcomeLedger,
     SeatAuthority,
     SeatDirectory,
     SystemClock,
 } from "@radishrouter/core";
-import type { Clock, ConfigurationVersion, NodeStatus, RateLimiter } from "@radishrouter/core";
+import type {
+    Clock,
+    ConfigurationVersion,
+    HostList,
+    MembershipView,
+    NodeStatus,
+    RateLimiter,
+} from "@radishrouter/core";
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
 import { createBackendServer } from "../connection/backend-listener.js";
 import { createCallerServer } from "../connection/caller-listener.js";
-import { ControlChannels } from "../connection/control-channels.js";
+import type { ControlChannels } from "../connection/control-channels.js";
 import { createForwardServer } from "../connection/forward-listener.js";
 import { closeGracefully, listen } from "../connection/http-server.js";
 import { createOperatorsServer } from "../connection/operators-listener.js";
-import { ConfigurationStore } from "../version/configuration-store.js";
+import type { ConfigurationStore } from "../version/configuration-store.js";
 import { BackendRunner } from "./backend-runner.js";
 import { DeploymentProof } from "./deployment-proof.js";
+import { FleetState } from "./fleet-state.js";
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
+import { OpenRequests } from "./open-requests.js";
 import { PeerForwarder } from "./peer-forwarder.js";
-import { PlatformReader } from "./platform-reader.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
 import type { Settings } from "./settings.js";
 
@@ -49,7 +53,7 @@
     readonly membership: MembershipView;
     readonly rateLimiter: RateLimiter;
     readonly limiter: ConcurrencyLimiter;
-    readonly platform: PlatformReader;
+    readonly fleetState: FleetState;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
     readonly dispatcher: KeyedDispatcher;
@@ -58,6 +62,7 @@
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
     readonly proof: DeploymentProof;
+    readonly openRequests: OpenRequests;
 }
 
 /** A running node. */
@@ -80,12 +85,11 @@
 
     /** Starts all listeners and watches; resolves when callers can connect. */
     async start(): Promise<void> {
-        const { audit, store, platform } = this.parts;
+        const { audit, store, fleetState } = this.parts;
         audit.record("process-started", this.settings.host, `process ${process.pid}`);
         store.events.on("inForce", version => this.applyConfiguration(version));
-        void platform.watch(CONFIGURATION_KEY, ({ value }) => store.offer(value, "platform"));
-        void platform.watch(HOST_LIST_KEY, ({ value }) => this.applyHostList(value));
         await this.startListeners();
+        fleetState.start();
     }
 
     /** Refuses new work, lets running requests end, and closes everything. */
@@ -102,9 +106,8 @@
         await closed;
         clearTimeout(limit);
         this.parts.authority.close();
-        this.parts.channels.close();
         this.controlServer?.close();
-        await this.parts.platform.close();
+        await this.parts.fleetState.stop();
         await this.parts.forwarder.close();
     }
 
@@ -146,19 +149,12 @@
 
     private applyConfiguration(version: ConfigurationVersion): void {
         this.parts.rateLimiter.setConfiguration(version);
+        this.parts.openRequests.endWithdrawn(version);
         const service = version.configuration.services[this.settings.service];
         if (service) {
             this.parts.limiter.setSlots(service.slots);
         }
     }
-
-    private applyHostList(value: unknown): void {
-        const list = hostListSchema.safeParse(value);
-        if (list.success) {
-            this.parts.membership.setPlatformList(list.data);
-            this.parts.seats.setPlatformList(list.data);
-        }
-    }
 }
 
 function createParts(settings: Settings): NodeParts {
@@ -167,16 +163,12 @@
     const limiter = ConcurrencyLimiter.create(clock, { slots: SLOTS_WITHOUT_CONFIGURATION });
     const handles = HandleTable.create();
     const proof = DeploymentProof.create(settings.deploymentSecret);
-    const membership = MembershipView.create({ ownName: settings.host });
     const incarnation = BigInt(Date.now());
     const identity = { ownName: settings.host, ownAddress: settings.address };
-    const channels = ControlChannels.create({
-        clock,
-        proof,
-        ...identity,
-        incarnation,
-        findHost: name => membership.find(name),
-    });
+    const seats = SeatDirectory.create();
+    const onHostList = (list: HostList) => seats.setPlatformList(list);
+    const fleetState = FleetState.create({ clock, audit, proof, settings, incarnation, onHostList });
+    const { membership, store, channels } = fleetState;
     const forwarder = PeerForwarder.create({ clock, proof, ...identity });
     const pool = createPool({
         ...settings.backendServer,
@@ -194,9 +186,7 @@
         forwarder,
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
-    const store = ConfigurationStore.create(audit);
     const { failureDomain, seat, limits } = settings;
-    const seats = SeatDirectory.create();
     const authority = SeatAuthority.create({
         clock,
         transport: channels,
@@ -230,7 +220,7 @@
         membership,
         rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
-        platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
+        fleetState,
         channels,
         seats,
         authority,
@@ -239,5 +229,6 @@
         runner,
         handles,
         proof,
+        openRequests: OpenRequests.create(),
     };
 }
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -32,6 +32,12 @@
         address: z.union([z.ipv4(), z.ipv6()]),
         port: portSchema,
     }),
+    /** Some hosts of the fleet that a starting node asks first, so that it does not depend on the platform. */
+    seeds: z.array(z.strictObject({
+        host: nameSchema,
+        address: z.union([z.ipv4(), z.ipv6()]),
+        controlPort: portSchema,
+    })).default([]),
     platform: z.strictObject({ url: z.url({ protocol: /^https?$/ }) }),
     /** `static` gives each seat a fixed part of every rate; all nodes of a deployment have to use the same. */
     rateLimiter: z.enum(["leased", "static"]).default("leased"),
--- a/packages/daemon/src/version/configuration-store.ts
+++ b/packages/daemon/src/version/configuration-store.ts
@@ -2,16 +2,24 @@
  * The configuration version that is in force at this node.
  */
 import type { AuditTrail, Configuration } from "@radishrouter/core";
-import { configurationSchema, ConfigurationVersion } from "@radishrouter/core";
+import { configurationShape, ConfigurationVersion, DocumentReplica } from "@radishrouter/core";
 import Emittery from "emittery";
 
-/** Adopts only versions that are higher than the one in force. */
+/** Keeps the version in force with its indexes, and records what each version changed. */
 export class ConfigurationStore {
     /** Emits `inForce` when a version has come into force. */
     readonly events: Emittery<{ inForce: ConfigurationVersion; }> = new Emittery();
+    /** The published document as it spreads among nodes. */
+    readonly replica: DocumentReplica<Configuration>;
     private version: ConfigurationVersion | undefined;
 
-    private constructor(private readonly audit: AuditTrail) {}
+    private constructor(private readonly audit: AuditTrail) {
+        this.replica = DocumentReplica.create({
+            shape: configurationShape,
+            onAdopted: (content, source) => this.putInForce(content, source),
+            onRefused: (source, problem) => this.refuse(source, problem),
+        });
+    }
 
     static create(audit: AuditTrail): ConfigurationStore {
         return new ConfigurationStore(audit);
@@ -24,18 +32,18 @@
 
     /** Puts a document in force if it is valid and newer; the old one stays in force otherwise. */
     offer(document: unknown, source: string): boolean {
-        const parsed = configurationSchema.safeParse(document);
-        if (!parsed.success) {
-            this.audit.record("configuration-refused", source, parsed.error.issues[0]?.message ?? "invalid");
-            return false;
-        }
-        if (this.version && parsed.data.version <= this.version.configuration.version) {
-            return false;
-        }
-        this.recordChanges(parsed.data, source);
-        this.version = ConfigurationVersion.create(parsed.data);
+        return this.replica.offerValue(document, source) === "adopted";
+    }
+
+    /** Records that a document was refused. */
+    refuse(source: string, problem: string): void {
+        this.audit.record("configuration-refused", source, problem);
+    }
+
+    private putInForce(configuration: Configuration, source: string): void {
+        this.recordChanges(configuration, source);
+        this.version = ConfigurationVersion.create(configuration);
         void this.events.emit("inForce", this.version);
-        return true;
     }
 
     private recordChanges(next: Configuration, source: string): void {
