--- a/packages/cli/src/report/report-table.ts
+++ b/packages/cli/src/report/report-table.ts
@@ -18,7 +18,7 @@
     "unknown",
     "received",
     "fair share",
-    "refused by code",
+    "by result code",
 ];
 
 /** Formats a report for a terminal or a pipe; notes on what is missing come first. */
@@ -52,7 +52,7 @@
         sumCounters(row.unknown),
         formatShare(row.receivedShare),
         formatShare(row.fairShare),
-        formatCodes(row.refused),
+        formatCodes({ ...row.refused, ...row.unknown }),
     ];
 }
 
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -11,6 +11,7 @@
     OutcomeLedger,
     RateLimiter,
 } from "@radishrouter/core";
+import createDebug from "debug";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { OpenRequests } from "../process/open-requests.js";
@@ -46,6 +47,7 @@
     readonly key: string | undefined;
 }
 
+const log = createDebug("radishrouter:refusal");
 const OPEN_ORGANISATION = "(open)";
 const DELAYED_MS = 1;
 /** How often slow senders are looked for. */
@@ -90,6 +92,7 @@
     }
     catch (error) {
         const failure = toRequestError(error);
+        log("%d %s %s", failure.result.code, failure.result.name, failure.execution);
         entry.close(
             failure.execution === "not-run" ?
                 { kind: "refused", code: failure.result.code } :
@@ -105,6 +108,7 @@
 /** Answers a caller that wants an idempotency key that stays usable when this node is cut off from others. */
 function issueIdempotencyKey(parts: CallerListenerParts, request: IncomingMessage, response: ServerResponse): void {
     try {
+        checkRequestHead(request);
         const key = readKey(request);
         if (key === undefined || !parts.version()?.keys.find(key)) {
             throw RequestError.create(key === undefined ? "key-missing" : "key-invalid");
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -34,6 +34,8 @@
 import { HandleTable } from "./handle-table.js";
 import { createPool } from "./http-pools.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
+import { collectMetrics, MetricsSender } from "./metrics.js";
+import type { MetricsSources } from "./metrics.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
 import { OpenRequests } from "./open-requests.js";
 import { PeerForwarder } from "./peer-forwarder.js";
@@ -71,6 +73,7 @@
     private readonly servers: Server[] = [];
     private controlServer: Http2Server | undefined;
     private stopping = false;
+    private metricsSender: MetricsSender | undefined;
 
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
 
@@ -90,6 +93,7 @@
         store.events.on("inForce", version => this.applyConfiguration(version));
         await this.startListeners();
         fleetState.start();
+        this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
     /** Refuses new work, lets running requests end, and closes everything. */
@@ -108,6 +112,7 @@
         this.parts.authority.close();
         this.controlServer?.close();
         await this.parts.fleetState.stop();
+        await this.metricsSender?.close();
         await this.parts.forwarder.close();
     }
 
@@ -127,6 +132,16 @@
         };
     }
 
+    private metricsSources(): MetricsSources {
+        const { ledger, limiter, membership, store } = this.parts;
+        return {
+            ledger,
+            load: () => limiter.load(),
+            livePeers: () => membership.livePeers().length,
+            configurationVersion: () => store.current?.configuration.version,
+        };
+    }
+
     private async startListeners(): Promise<void> {
         const { address, loopbackAddress, ports } = this.settings;
         const isStopping = () => this.stopping;
@@ -137,7 +152,8 @@
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
         await this.open(createBackendServer(shared), ports.backend, loopbackAddress);
-        const operators = createOperatorsServer({ ...shared, status: () => this.status() });
+        const metrics = () => collectMetrics(this.metricsSources());
+        const operators = createOperatorsServer({ ...shared, status: () => this.status(), metrics });
         await this.open(operators, ports.operators, loopbackAddress);
         await this.open(createCallerServer(shared), ports.callers, address);
     }
