Keep overload at the entry, and count retries over the whole chain

Cause: a surge at a slow service four calls deep filled queues at every hop. Each hop retried, callers retried, and the work of requests that failed later went on after the surge was over.

Change: - Concurrency limit by trial under the published slots. Latency over its baseline starts a trial of a lower limit, which is kept only when throughput holds. Time spent in onward calls does not count. - Short start-time fair queue, weighted by rate and ordered by importance. It refuses at once what cannot be run in time. - Each answer carries the pressure that the request met below. Entry nodes bound the requests of each organisation and route that are in the chain at once, and refuse the others with 2004. Retries that an answer tells to be left are taken out at the callee.

The retry property fails when repeats are not counted (counterexample: budget 2, one lost attempt with two calls below).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,9 +3,12 @@
  * view, outcome ledger and audit trail, and the schemas of everything that operators publish.
  */
 export * from "./connection/control-transport.js";
+export * from "./process/adaptive-limit.js";
 export * from "./process/audit-trail.js";
 export * from "./process/clock.js";
 export * from "./process/concurrency-limiter.js";
+export * from "./process/entry-admission.js";
+export * from "./process/fair-queue.js";
 export * from "./process/idempotency-table.js";
 export * from "./process/load-balancer.js";
 export * from "./process/membership-view.js";
@@ -16,6 +19,7 @@
 export * from "./process/seat-authority.js";
 export * from "./process/seat-directory.js";
 export * from "./process/token-bucket.js";
+export * from "./request/chain-pressure.js";
 export * from "./request/retry-budget.js";
 export * from "./result-code.js";
 export * from "./version/access-key.js";
--- a/packages/core/src/request/retry-budget.ts
+++ b/packages/core/src/request/retry-budget.ts
@@ -2,6 +2,8 @@
  * Retries of a root request, shared by its whole call graph.
  */
 
+const KEPT_AT_CALLER = 1;
+
 /**
  * Counts the retries that a request and the calls below it may still use.
  *
@@ -36,6 +38,16 @@
         return part;
     }
 
+    /**
+     * Takes out the retries that go along with a call to another node.
+     *
+     * One stays here, for when the call is never answered. A repeat of a call that may have run takes all along, since
+     * each call that it makes in turn may be a repeat as well and counts as a retry.
+     */
+    takePartForCall(isRepeat: boolean): number {
+        return this.takePart(isRepeat ? this.remaining : this.remaining - KEPT_AT_CALLER);
+    }
+
     /** Puts back retries that a child call did not use. */
     putBack(retries: number): void {
         this.remaining += Math.max(0, Math.floor(retries));
--- a/packages/daemon/src/connection/backend-listener.ts
+++ b/packages/daemon/src/connection/backend-listener.ts
@@ -4,7 +4,7 @@
 import { RequestError } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { HandleTable } from "../process/handle-table.js";
+import type { HandleTable, RunningRequest } from "../process/handle-table.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
@@ -24,6 +24,8 @@
     readonly limits: Settings["limits"];
     readonly handles: HandleTable;
     readonly dispatcher: KeyedDispatcher;
+    /** Whether the caller's deadline binds onward calls; otherwise each has that of its route, as a baseline. */
+    readonly sharesDeadline: boolean;
     readonly version: () => ConfigurationVersion | undefined;
 }
 
@@ -41,7 +43,7 @@
     }
 }
 
-function resolveParent(parts: BackendListenerParts, request: IncomingMessage): RequestContext {
+function resolveParent(parts: BackendListenerParts, request: IncomingMessage): RunningRequest {
     const handle = request.headers[HANDLE_HEADER];
     const parent = typeof handle === "string" ? parts.handles.resolve(handle) : undefined;
     if (!parent) {
@@ -54,17 +56,20 @@
     parts: BackendListenerParts,
     request: IncomingMessage,
     response: ServerResponse,
-    parent: RequestContext,
+    running: RunningRequest,
 ): Promise<void> {
+    const { context: parent, onwardTime } = running;
     const matched = parts.version()?.routes.find(request.method ?? "", request.url ?? "");
     if (!matched) {
         throw RequestError.create("route-unknown");
     }
     const allowedMs = readDeadlineMs(request.headers[DEADLINE_HEADER], matched.route.deadlineMs);
-    const remainingMs = Math.min(allowedMs, parent.deadlineMs - parts.clock.nowMs());
+    const parentMs = parts.sharesDeadline ? parent.deadlineMs - parts.clock.nowMs() : Infinity;
+    const remainingMs = Math.min(allowedMs, parentMs);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const cancel = () => lifetime.abort(parent.signal.reason as RequestError);
     parent.signal.addEventListener("abort", cancel, { once: true });
+    onwardTime.start();
     try {
         const context: RequestContext = {
             organisation: parent.organisation,
@@ -75,6 +80,8 @@
             headers: createOnwardHeaders(request.headers, undefined),
             deadlineMs: parts.clock.nowMs() + remainingMs,
             retryBudget: parent.retryBudget,
+            isRepeat: parent.isRepeat,
+            chainPressure: parent.chainPressure,
             signal: lifetime.signal,
         };
         const body = await readRequestBody(request, {
@@ -86,6 +93,7 @@
         await writeAnswer(response, answer, lifetime.signal);
     }
     finally {
+        onwardTime.end();
         parent.signal.removeEventListener("abort", cancel);
         lifetime.end();
     }
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -1,10 +1,12 @@
 /**
  * Requests of callers: authentication, admission and accounting, at the node where they enter.
  */
-import { RequestError, RetryBudget } from "@radishrouter/core";
+import { ChainPressure, RequestError, RetryBudget } from "@radishrouter/core";
 import type {
     Clock,
     ConfigurationVersion,
+    EntryAdmission,
+    EntryTicket,
     Identity,
     MatchedRoute,
     OpenEntry,
@@ -19,6 +21,7 @@
 import { DEADLINE_HEADER, ISSUED_KEYS_TARGET } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
+import { routeNameOf } from "../request/request-context.js";
 import { readDeadlineMs } from "../request/request-deadline.js";
 import { checkRequestHead, readKey } from "../request/request-head.js";
 import { createOnwardHeaders } from "../request/request-headers.js";
@@ -33,6 +36,8 @@
     readonly ledger: OutcomeLedger;
     readonly rateLimiter: RateLimiter;
     readonly dispatcher: KeyedDispatcher;
+    /** Sheds by what answers tell of services further down the chain; undefined when switched off. */
+    readonly entryAdmission: EntryAdmission | undefined;
     /** Configuration in force; undefined until the first one has arrived. */
     readonly version: () => ConfigurationVersion | undefined;
     /** Whether the node is shutting down. */
@@ -45,6 +50,12 @@
     readonly key: string | undefined;
 }
 
+interface AdmittedRequest extends Admission {
+    readonly guard: CallerGuard;
+    readonly remainingMs: number;
+    readonly ticket: EntryTicket | undefined;
+}
+
 const log = createDebug("radishrouter:refusal");
 const OPEN_ORGANISATION = "(open)";
 const DELAYED_MS = 1;
@@ -86,7 +97,9 @@
         entry.assign(admission.identity?.organisation ?? OPEN_ORGANISATION);
         closeRequest = guard.openRequest(admission.identity?.keyId ?? request.socket.remoteAddress ?? "");
         await acquireRate(parts, admission, entry);
-        await run(parts, request, response, { ...admission, guard }, entry);
+        const remainingMs = readDeadlineMs(request.headers[DEADLINE_HEADER], admission.matched.route.deadlineMs);
+        const ticket = admitToChain(parts, admission);
+        await run(parts, request, response, { ...admission, guard, remainingMs, ticket }, entry);
     }
     catch (error) {
         const failure = toRequestError(error);
@@ -166,16 +179,32 @@
     }
 }
 
+/** Refuses at once what would be refused further down the chain. */
+function admitToChain(parts: CallerListenerParts, admission: Admission): EntryTicket | undefined {
+    const flow = {
+        organisation: admission.identity?.organisation ?? OPEN_ORGANISATION,
+        routeName: routeNameOf(admission.matched),
+        importance: admission.matched.route.importance,
+    };
+    const decision = parts.entryAdmission?.tryAdmit(flow);
+    if (decision?.kind === "refused") {
+        const detail = `The service ${decision.service} is at capacity.`;
+        const name = decision.service === admission.matched.serviceName ? "overloaded" : "downstream-overloaded";
+        throw RequestError.create(name, { detail, retryAfterMs: decision.retryAfterMs });
+    }
+    return decision?.ticket;
+}
+
 async function run(
     parts: CallerListenerParts,
     request: IncomingMessage,
     response: ServerResponse,
-    admission: Admission & { readonly guard: CallerGuard; },
+    admission: AdmittedRequest,
     entry: OpenEntry,
 ): Promise<void> {
-    const { matched, key } = admission;
-    const remainingMs = readDeadlineMs(request.headers[DEADLINE_HEADER], matched.route.deadlineMs);
+    const { matched, key, remainingMs } = admission;
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
+    const chainPressure = ChainPressure.create();
     try {
         const context = {
             organisation: admission.identity?.organisation ?? OPEN_ORGANISATION,
@@ -186,6 +215,8 @@
             headers: createOnwardHeaders(request.headers, key),
             deadlineMs: parts.clock.nowMs() + remainingMs,
             retryBudget: RetryBudget.create(matched.service.retryBudget),
+            isRepeat: false,
+            chainPressure,
             signal: lifetime.signal,
         };
         const body = await readRequestBody(request, {
@@ -202,6 +233,10 @@
         entry.close(answer.status >= 500 ? { kind: "failed", status: answer.status } : { kind: "completed", delayed });
     }
     finally {
+        const wasAbandoned = lifetime.signal.aborted;
+        admission.ticket?.end(
+            wasAbandoned ? { kind: "abandoned" } : { kind: "answered", level: chainPressure.tightest },
+        );
         lifetime.end();
     }
 }
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -1,7 +1,7 @@
 /**
  * Requests that other nodes forward to the backend server of this host.
  */
-import { RequestError, RetryBudget } from "@radishrouter/core";
+import { ChainPressure, formatAdmissionLevel, RequestError, RetryBudget } from "@radishrouter/core";
 import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
@@ -57,13 +57,20 @@
     const { remainingMs } = forwarded;
     const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
+    const chainPressure = ChainPressure.create();
     const answerWith = (outcome: string) => ({
         [answerHeaders.outcome]: outcome,
-        [answerHeaders.retriesLeft]: String(retryBudget.left),
+        // What is told to be left is taken out, so that onward calls after this answer cannot use it as well.
+        [answerHeaders.retriesLeft]: String(retryBudget.takePart()),
         [answerHeaders.load]: JSON.stringify(parts.load()),
+        ...describePressure(chainPressure),
     });
     try {
-        const context = createContext(parts, request, forwarded, retryBudget, lifetime.signal);
+        const context = createContext(parts, request, forwarded, {
+            retryBudget,
+            chainPressure,
+            signal: lifetime.signal,
+        });
         const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
@@ -84,6 +91,11 @@
     }
 }
 
+function describePressure(chainPressure: ChainPressure): Record<string, string> {
+    const level = chainPressure.tightest;
+    return level ? { [answerHeaders.admission]: formatAdmissionLevel(level) } : {};
+}
+
 function authenticate(parts: ForwardListenerParts, request: IncomingMessage): void {
     const sender = request.headers[forwardHeaders.sender];
     const proof = request.headers[forwardHeaders.proof];
@@ -98,8 +110,7 @@
     parts: ForwardListenerParts,
     request: IncomingMessage,
     forwarded: ForwardedRequest,
-    retryBudget: RetryBudget,
-    signal: AbortSignal,
+    shared: Pick<RequestContext, "retryBudget" | "chainPressure" | "signal">,
 ): RequestContext {
     const version = parts.version();
     if (parts.isStopping()) {
@@ -121,7 +132,7 @@
         matched,
         headers: createOnwardHeaders(request.headers, undefined),
         deadlineMs: parts.clock.nowMs() + forwarded.remainingMs,
-        retryBudget,
-        signal,
+        isRepeat: forwarded.isRepeat,
+        ...shared,
     };
 }
--- a/packages/daemon/src/process/backend-runner.ts
+++ b/packages/daemon/src/process/backend-runner.ts
@@ -1,23 +1,28 @@
 /**
  * Runs requests on the backend server of this host.
  */
-import type { Clock, ConcurrencyLimiter, Permit, RunOutcome } from "@radishrouter/core";
+import type { Clock, ConcurrencyLimiter, LoadBalancer, Permit, RunOutcome } from "@radishrouter/core";
 import { RequestError } from "@radishrouter/core";
-import type { Pool } from "undici";
 import { HANDLE_HEADER } from "../request/header-names.js";
+import { OnwardTime } from "../request/onward-time.js";
 import { bodyContent } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
+import { routeNameOf } from "../request/request-context.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
 import { createReturnHeaders } from "../request/request-headers.js";
+import type { BackendConnections } from "./backend-connections.js";
 import type { HandleTable } from "./handle-table.js";
 import { createConnectionError } from "./http-pools.js";
 
 /** Parts that a runner works with. */
 export interface BackendRunnerParts {
     readonly clock: Clock;
+    readonly ownService: string;
     readonly limiter: ConcurrencyLimiter;
     readonly handles: HandleTable;
-    readonly pool: Pool;
+    readonly connections: BackendConnections;
+    readonly balancer: LoadBalancer;
+    readonly ownName: string;
 }
 
 /** Sends requests to the local backend server within its concurrency limit. */
@@ -34,11 +39,15 @@
      * @throws RequestError when the request was shed or its outcome is unknown.
      */
     async run(context: RequestContext, body: RequestBody): Promise<Answer> {
-        const permit = await this.parts.limiter.acquire(context);
-        const handle = this.parts.handles.issue(context);
+        this.refuseIfUnresponsive(context);
+        const permit = await this.acquire(context);
+        const open = this.parts.balancer.start(this.parts.ownName);
+        const onwardTime = OnwardTime.create(this.parts.clock, open);
+        const handle = this.parts.handles.issue({ context, onwardTime });
         const end = (outcome: RunOutcome) => {
             this.parts.handles.revoke(handle);
-            permit.release(outcome);
+            permit.release(outcome, onwardTime.totalMs);
+            open.end(outcome === "completed" ? { kind: "answered" } : { kind: "abandoned" });
         };
         try {
             return await this.send(context, body, handle, permit, end);
@@ -50,6 +59,33 @@
         }
     }
 
+    /** Refuses while the backend server hangs, so that senders learn at once to go elsewhere. */
+    private refuseIfUnresponsive(context: RequestContext): void {
+        const { balancer, ownName } = this.parts;
+        const isProbe = context.matched.route.idempotent && balancer.isProbeDue(ownName);
+        if (balancer.isUnresponsive(ownName) && !isProbe) {
+            throw RequestError.create("no-backend-server", { detail: "The backend server does not answer." });
+        }
+    }
+
+    /** Waits for a permit and records how hard it was to get. */
+    private async acquire(context: RequestContext): Promise<Permit> {
+        const { limiter, ownService } = this.parts;
+        const { organisation, importance, deadlineMs, signal, matched, chainPressure } = context;
+        try {
+            const routeName = routeNameOf(matched);
+            const onShed = (usedPart: number) => chainPressure.observe({ service: ownService, pressure: 1 + usedPart });
+            const request = { organisation, importance, deadlineMs, signal, routeName, onShed };
+            const permit = await limiter.acquire(request);
+            chainPressure.observe({ service: ownService, pressure: permit.pressure });
+            return permit;
+        }
+        catch (error) {
+            chainPressure.observe({ service: ownService, pressure: limiter.occupancy() });
+            throw error;
+        }
+    }
+
     private async send(
         context: RequestContext,
         body: RequestBody,
@@ -58,7 +94,7 @@
         end: (outcome: RunOutcome) => void,
     ): Promise<Answer> {
         context.signal.throwIfAborted();
-        const response = await this.parts.pool.request({
+        const response = await this.parts.connections.pool.request({
             method: context.method as "GET",
             path: context.matched.backendPath,
             headers: { ...context.headers, [HANDLE_HEADER]: handle },
--- a/packages/daemon/src/process/handle-table.ts
+++ b/packages/daemon/src/process/handle-table.ts
@@ -2,13 +2,20 @@
  * Opaque handles that stand for requests in flight on the local backend server.
  */
 import { randomBytes } from "node:crypto";
+import type { OnwardTime } from "../request/onward-time.js";
 import type { RequestContext } from "../request/request-context.js";
 
 const HANDLE_BYTES = 18;
 
+/** A request in flight on the local backend server. */
+export interface RunningRequest {
+    readonly context: RequestContext;
+    readonly onwardTime: OnwardTime;
+}
+
 /** Resolves handles to requests in flight; a handle dies with its request. */
 export class HandleTable {
-    private readonly contexts = new Map<string, RequestContext>();
+    private readonly running = new Map<string, RunningRequest>();
 
     private constructor() {}
 
@@ -17,19 +24,19 @@
     }
 
     /** Issues a handle for a request. */
-    issue(context: RequestContext): string {
+    issue(running: RunningRequest): string {
         const handle = randomBytes(HANDLE_BYTES).toString("base64url");
-        this.contexts.set(handle, context);
+        this.running.set(handle, running);
         return handle;
     }
 
     /** Request of a handle; undefined when it never existed or its request has ended. */
-    resolve(handle: string): RequestContext | undefined {
-        return this.contexts.get(handle);
+    resolve(handle: string): RunningRequest | undefined {
+        return this.running.get(handle);
     }
 
     /** Ends a handle. */
     revoke(handle: string): void {
-        this.contexts.delete(handle);
+        this.running.delete(handle);
     }
 }
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -5,6 +5,7 @@
     AuditTrail,
     ConcurrencyLimiter,
     CONFIGURATION_KEY,
+    EntryAdmission,
     HOST_LIST_KEY,
     hostListSchema,
     IdempotencyTable,
@@ -25,22 +26,26 @@
 import { closeGracefully, listen } from "../connection/http-server.js";
 import { createOperatorsServer } from "../connection/operators-listener.js";
 import { ConfigurationStore } from "../version/configuration-store.js";
+import { BackendConnections } from "./backend-connections.js";
 import { BackendRunner } from "./backend-runner.js";
 import { DeploymentProof } from "./deployment-proof.js";
 import { HandleTable } from "./handle-table.js";
-import { createPool } from "./http-pools.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { collectMetrics, MetricsSender } from "./metrics.js";
 import type { MetricsSources } from "./metrics.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
 import { PeerForwarder } from "./peer-forwarder.js";
 import { PlatformReader } from "./platform-reader.js";
+import { isInForce } from "./policy.js";
+import type { PolicyName } from "./policy.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
 import type { Settings } from "./settings.js";
 
 /** Time for the last control messages to go out at a planned stop. */
 const CONTROL_FLUSH_MS = 150;
 const SLOTS_WITHOUT_CONFIGURATION = 1;
+const CONNECTIONS_WITHOUT_CONFIGURATION = 1;
+const WEIGHT_WITHOUT_RATE = 1;
 
 /** The coordination parts of a node, which live as long as its process. */
 interface NodeParts {
@@ -51,6 +56,8 @@
     readonly membership: MembershipView;
     readonly rateLimiter: RateLimiter;
     readonly limiter: ConcurrencyLimiter;
+    readonly connections: BackendConnections;
+    readonly entryAdmission: EntryAdmission | undefined;
     readonly platform: PlatformReader;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
@@ -148,7 +155,8 @@
         this.controlServer = this.parts.channels.createServer();
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
-        await this.open(createBackendServer(shared), ports.backend, loopbackAddress);
+        const sharesDeadline = isInForce(this.settings.policy, "shared-deadline");
+        await this.open(createBackendServer({ ...shared, sharesDeadline }), ports.backend, loopbackAddress);
         const metrics = () => collectMetrics(this.metricsSources());
         const operators = createOperatorsServer({ ...shared, status: () => this.status(), metrics });
         await this.open(operators, ports.operators, loopbackAddress);
@@ -165,7 +173,10 @@
         const service = version.configuration.services[this.settings.service];
         if (service) {
             this.parts.limiter.setSlots(service.slots);
+            this.parts.connections.setConnections(service.connections);
         }
+        const { organisations } = version.configuration;
+        this.parts.limiter.setWeights(name => organisations[name]?.rate ?? WEIGHT_WITHOUT_RATE);
     }
 
     private applyHostList(value: unknown): void {
@@ -180,7 +191,13 @@
 function createParts(settings: Settings): NodeParts {
     const clock = SystemClock.create();
     const audit = AuditTrail.create();
-    const limiter = ConcurrencyLimiter.create(clock, { slots: SLOTS_WITHOUT_CONFIGURATION });
+    const inForce = (name: PolicyName) => isInForce(settings.policy, name);
+    const limiter = ConcurrencyLimiter.create(clock, {
+        slots: SLOTS_WITHOUT_CONFIGURATION,
+        adaptive: inForce("adaptive-limit"),
+        fair: inForce("fair-queue"),
+        unlimited: !inForce("concurrency-limit"),
+    });
     const handles = HandleTable.create();
     const proof = DeploymentProof.create(settings.deploymentSecret);
     const membership = MembershipView.create({ ownName: settings.host });
@@ -194,21 +211,25 @@
         findHost: name => membership.find(name),
     });
     const forwarder = PeerForwarder.create({ clock, proof, ...identity });
-    const pool = createPool({
+    const connections = BackendConnections.create({
         ...settings.backendServer,
-        connections: 512,
+        connections: CONNECTIONS_WITHOUT_CONFIGURATION,
         localAddress: settings.address,
     });
-    const runner = BackendRunner.create({ clock, limiter, handles, pool });
+    const balancer = LoadBalancer.create(clock, { blind: !inForce("load-balancing") });
+    const ownService = settings.service;
+    const runner = BackendRunner.create({ clock, ownService, limiter, handles, connections, balancer, ...identity });
     const unkeyed = RequestDispatcher.create({
         clock,
-        ownService: settings.service,
-        ownFailureDomain: settings.failureDomain,
+        ownName: settings.host,
+        ownService,
+        location: settings,
         membership,
-        balancer: LoadBalancer.create(),
+        balancer,
         runner,
         forwarder,
-        hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
+        hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit || !inForce("concurrency-limit"),
+        sharesRetries: inForce("shared-retries"),
     });
     const store = ConfigurationStore.create(audit);
     const { failureDomain, seat, limits } = settings;
@@ -246,6 +267,8 @@
         membership,
         rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
+        connections,
+        entryAdmission: inForce("chain-feedback") ? EntryAdmission.create(clock) : undefined,
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
         channels,
         seats,
--- a/packages/daemon/src/process/peer-forwarder.ts
+++ b/packages/daemon/src/process/peer-forwarder.ts
@@ -1,8 +1,8 @@
 /**
  * Forwards requests to nodes of other hosts.
  */
-import type { Clock, Host } from "@radishrouter/core";
-import { RequestError, resultNameOf } from "@radishrouter/core";
+import type { Clock, Host, LocalLoad, ResultName, SendOutcome } from "@radishrouter/core";
+import { nodeStatusSchema, parseAdmissionLevel, RequestError, resultNameOf } from "@radishrouter/core";
 import type { Dispatcher, Pool } from "undici";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
 import { problemDocumentSchema } from "../request/problem-document.js";
@@ -13,7 +13,8 @@
 import type { DeploymentProof } from "./deployment-proof.js";
 import { createConnectionError, createPool } from "./http-pools.js";
 
-const CONNECTIONS_PER_PEER = 32;
+const CONNECTIONS_PER_PEER = 256;
+const loadSchema = nodeStatusSchema.shape.load;
 
 /** Parts that a forwarder works with. */
 export interface PeerForwarderParts {
@@ -27,6 +28,8 @@
 export interface ForwardOptions {
     /** Whether the peer owns the idempotency key of the request, rather than a backend server of its service. */
     readonly toKeyOwner?: boolean;
+    /** Called with what the answer tells of the host. */
+    readonly onAnswer?: (outcome: SendOutcome) => void;
 }
 
 /** Sends requests to other nodes and reads their answers. */
@@ -50,9 +53,10 @@
         body: RequestBody,
         options: ForwardOptions = {},
     ): Promise<Answer> {
-        const retries = context.retryBudget.takePart();
+        const retries = context.retryBudget.takePartForCall(context.isRepeat);
+        let response: Dispatcher.ResponseData;
         try {
-            const response = await this.poolOf(host).request({
+            response = await this.poolOf(host).request({
                 method: context.method as "GET",
                 path: context.target,
                 headers: {
@@ -62,8 +66,6 @@
                 body: bodyContent(body),
                 signal: context.signal,
             });
-            context.retryBudget.putBack(Number(response.headers[answerHeaders.retriesLeft] ?? 0));
-            return await readAnswer(response);
         }
         catch (error) {
             if (context.signal.aborted && context.signal.reason instanceof RequestError) {
@@ -75,6 +77,8 @@
             }
             throw failure;
         }
+        readFeedback(response, context, retries);
+        return await readAnswer(response, options.onAnswer);
     }
 
     /** Closes all connections after the requests on them have ended. */
@@ -93,6 +97,7 @@
                 Math.max(0, Math.floor(context.deadlineMs - this.parts.clock.nowMs())),
             ),
             [forwardHeaders.retries]: String(retries),
+            ...(context.isRepeat ? { [forwardHeaders.repeat]: "1" } : {}),
         };
     }
 
@@ -112,8 +117,32 @@
     }
 }
 
-async function readAnswer(response: Dispatcher.ResponseData): Promise<Answer> {
+/** Takes back unused retries and learns how hard the request was to admit. */
+function readFeedback(response: Dispatcher.ResponseData, context: RequestContext, retries: number): void {
+    const retriesLeft = Number(response.headers[answerHeaders.retriesLeft]) || 0;
+    context.retryBudget.putBack(Math.min(retries, retriesLeft));
+    const level = parseAdmissionLevel(String(response.headers[answerHeaders.admission] ?? ""));
+    if (level) {
+        context.chainPressure.observe(level);
+    }
+}
+
+function readLoad(response: Dispatcher.ResponseData): LocalLoad | undefined {
+    try {
+        return loadSchema.parse(JSON.parse(String(response.headers[answerHeaders.load])));
+    }
+    catch {
+        return undefined;
+    }
+}
+
+async function readAnswer(
+    response: Dispatcher.ResponseData,
+    onAnswer: (outcome: SendOutcome) => void = () => undefined,
+): Promise<Answer> {
+    const load = readLoad(response);
     if (response.headers[answerHeaders.outcome] === "answered") {
+        onAnswer({ kind: "answered", load });
         return {
             status: response.statusCode,
             headers: createReturnHeaders(response.headers),
@@ -122,9 +151,25 @@
         };
     }
     const problem = problemDocumentSchema.parse(await response.body.json());
-    throw RequestError.create(resultNameOf(problem.code) ?? "internal-error", {
+    const name = resultNameOf(problem.code) ?? "internal-error";
+    onAnswer(outcomeOf(name, load));
+    throw RequestError.create(name, {
         detail: problem.detail,
         execution: problem.execution,
         retryAfterMs: problem.retryAfterMs,
     });
 }
+
+/** What a refusal tells of the host. */
+function outcomeOf(name: ResultName, load: LocalLoad | undefined): SendOutcome {
+    switch (name) {
+        case "overloaded":
+        case "deadline-too-near":
+            return { kind: "refused", load };
+        case "caller-gone":
+        case "deadline-exceeded":
+            return { kind: "abandoned" };
+        default:
+            return { kind: "failed" };
+    }
+}
--- a/packages/daemon/src/process/request-dispatcher.ts
+++ b/packages/daemon/src/process/request-dispatcher.ts
@@ -1,8 +1,9 @@
 /**
  * Decides where a request runs, and whether it is sent again.
  */
-import type { Clock, Host, LoadBalancer, MembershipView } from "@radishrouter/core";
-import { RequestError } from "@radishrouter/core";
+import type { Clock, Host, LoadBalancer, MembershipView, OpenSend, SenderLocation } from "@radishrouter/core";
+import { RequestError, RetryBudget } from "@radishrouter/core";
+import { AttemptLifetime } from "../request/attempt-lifetime.js";
 import { toRequestError } from "../request/problem-document.js";
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
@@ -12,14 +13,17 @@
 /** Parts that a dispatcher works with. */
 export interface RequestDispatcherParts {
     readonly clock: Clock;
+    readonly ownName: string;
     readonly ownService: string;
-    readonly ownFailureDomain: string;
+    readonly location: SenderLocation;
     readonly membership: MembershipView;
     readonly balancer: LoadBalancer;
     readonly runner: BackendRunner;
     readonly forwarder: PeerForwarder;
     /** Whether the local backend server takes another request without waiting. */
     readonly hasLocalRoom: () => boolean;
+    /** Whether retries are counted over the whole chain; otherwise each hop has the whole budget, as a baseline. */
+    readonly sharesRetries: boolean;
 }
 
 type Target =
@@ -27,6 +31,8 @@
     | { readonly kind: "peer"; readonly host: Host; };
 
 const LOCAL_NAME = "";
+/** Shortest time that an attempt on the local backend server gets. */
+const LOCAL_ATTEMPT_MS = 300;
 
 /** Sends each request to the local backend server or to a peer, and again where that is safe. */
 export class RequestDispatcher {
@@ -43,30 +49,51 @@
      */
     async dispatch(context: RequestContext, body: RequestBody): Promise<Answer> {
         const tried = new Set<string>();
+        const hopBudget = RetryBudget.create(context.matched.service.retryBudget);
+        const budget = this.parts.sharesRetries ? context.retryBudget : hopBudget;
+        let isRepeat = this.parts.sharesRetries && context.isRepeat;
+        if (isRepeat && !budget.trySpend()) {
+            throw RequestError.create("retries-exhausted");
+        }
         for (;;) {
             const target = this.choose(context, tried);
             tried.add(target.kind === "local" ? LOCAL_NAME : target.host.name);
             try {
-                return await this.send(target, context, body);
+                const answer = await this.send(target, { ...context, isRepeat }, body, budget);
+                const isLast = this.parts.sharesRetries || answer.status < 500 ||
+                    !this.mayRepeat(context, body, tried) || !budget.trySpend();
+                if (isLast) {
+                    return answer;
+                }
+                answer.body.destroy();
             }
             catch (error) {
                 const failure = toRequestError(error);
-                if (!this.maySendAgain(failure, context, body, tried)) {
+                if (!this.maySendAgain(failure, context, body, tried) || !budget.trySpend()) {
                     throw failure;
                 }
+                isRepeat ||= this.parts.sharesRetries && failure.execution === "unknown";
             }
         }
     }
 
     private choose(context: RequestContext, tried: ReadonlySet<string>): Target {
         const service = context.matched.serviceName;
+        const { balancer, location, ownName } = this.parts;
         const isLocal = service === this.parts.ownService && !tried.has(LOCAL_NAME);
-        if (isLocal && this.parts.hasLocalRoom()) {
+        const isRepeatable = context.matched.route.idempotent;
+        const isLocalUsable = isLocal && !balancer.isUnresponsive(ownName);
+        if (isLocalUsable && this.parts.hasLocalRoom()) {
+            return { kind: "local" };
+        }
+        if (isLocal && isRepeatable && balancer.isProbeDue(ownName)) {
             return { kind: "local" };
         }
         const peers = this.parts.membership.livePeersOf(service).filter(host => !tried.has(host.name));
-        const near = peers.filter(host => host.failureDomain === this.parts.ownFailureDomain);
-        const host = this.parts.balancer.choose(near.length > 0 ? near : peers);
+        const host = balancer.choose(peers, location, isRepeatable);
+        if (isLocalUsable && (!host || !balancer.hasRoom(host.name))) {
+            return { kind: "local" };
+        }
         if (host) {
             return { kind: "peer", host };
         }
@@ -76,23 +103,69 @@
         throw RequestError.create("no-backend-server");
     }
 
-    private async send(target: Target, context: RequestContext, body: RequestBody): Promise<Answer> {
+    private async send(
+        target: Target,
+        context: RequestContext,
+        body: RequestBody,
+        budget: RetryBudget,
+    ): Promise<Answer> {
         switch (target.kind) {
             case "local":
-                return this.parts.runner.run(context, body);
+                return this.runHere(context, body, budget);
             case "peer": {
-                const startMs = this.parts.clock.nowMs();
-                const end = this.parts.balancer.start(target.host);
-                try {
-                    return await this.parts.forwarder.forward(target.host, context, body);
-                }
-                finally {
-                    end(this.parts.clock.nowMs() - startMs);
-                }
+                const open = this.parts.balancer.start(target.host.name);
+                return this.forward(target.host, open, context, body, budget);
             }
         }
     }
 
+    /** Runs a request here and abandons the attempt when the backend server hangs and the request may go elsewhere. */
+    private async runHere(context: RequestContext, body: RequestBody, budget: RetryBudget): Promise<Answer> {
+        const { clock, balancer, ownName } = this.parts;
+        const startMs = clock.nowMs();
+        const attempt = AttemptLifetime.create(clock, context.signal, {
+            isUnresponsive: () => balancer.isUnresponsive(ownName) && clock.nowMs() - startMs > LOCAL_ATTEMPT_MS,
+            mayAbandon: () => budget.left > 0 && this.mayRepeat(context, body, new Set([LOCAL_NAME])),
+        });
+        try {
+            return await this.parts.runner.run({ ...context, signal: attempt.signal }, body);
+        }
+        finally {
+            attempt.end();
+        }
+    }
+
+    /** Forwards a request and abandons the attempt when its host hangs and the request may be sent elsewhere. */
+    private async forward(
+        host: Host,
+        open: OpenSend,
+        context: RequestContext,
+        body: RequestBody,
+        budget: RetryBudget,
+    ): Promise<Answer> {
+        const attempt = AttemptLifetime.create(this.parts.clock, context.signal, {
+            isUnresponsive: () => open.isHostUnresponsive(),
+            mayAbandon: () => budget.left > 0 && this.mayRepeat(context, body, new Set([host.name])),
+        });
+        try {
+            const forwarded = { ...context, signal: attempt.signal, retryBudget: this.budgetToShare(budget) };
+            return await this.parts.forwarder.forward(host, forwarded, body, {
+                onAnswer: outcome => open.end(outcome),
+            });
+        }
+        catch (error) {
+            open.end(attempt.signal.aborted ? { kind: "abandoned" } : { kind: "failed" });
+            throw error;
+        }
+        finally {
+            attempt.end();
+        }
+    }
+
+    private budgetToShare(budget: RetryBudget): RetryBudget {
+        return this.parts.sharesRetries ? budget : RetryBudget.create(0);
+    }
+
     private maySendAgain(
         failure: RequestError,
         context: RequestContext,
@@ -103,7 +176,13 @@
             return false;
         }
         const isSafe = failure.execution === "not-run" || context.matched.route.idempotent;
-        return isSafe && isWorthSendingAgain(failure) && context.retryBudget.trySpend();
+        return isSafe && this.isWorthSendingAgain(failure, context, tried);
+    }
+
+    /** Whether a request that may have run can be sent to another backend server. */
+    private mayRepeat(context: RequestContext, body: RequestBody, tried: ReadonlySet<string>): boolean {
+        return !context.signal.aborted && body.kind !== "streamed" && context.matched.route.idempotent &&
+            this.hasOther(context, tried);
     }
 
     private hasOther(context: RequestContext, tried: ReadonlySet<string>): boolean {
@@ -111,18 +190,30 @@
         return this.parts.membership.livePeersOf(service).some(host => !tried.has(host.name)) ||
             (service === this.parts.ownService && !tried.has(LOCAL_NAME));
     }
-}
 
-function isWorthSendingAgain(failure: RequestError): boolean {
-    switch (failure.result.name) {
-        case "overloaded":
-        case "no-backend-server":
-        case "node-stopping":
-        case "backend-connection-lost":
-        case "peer-connection-lost":
-        case "configuration-missing":
-            return true;
-        default:
-            return false;
+    private isWorthSendingAgain(
+        failure: RequestError,
+        context: RequestContext,
+        tried: ReadonlySet<string>,
+    ): boolean {
+        switch (failure.result.name) {
+            case "overloaded":
+                return !this.parts.sharesRetries || this.hasOtherWithRoom(context, tried);
+            case "no-backend-server":
+            case "node-stopping":
+            case "backend-connection-lost":
+            case "peer-connection-lost":
+            case "configuration-missing":
+                return true;
+            default:
+                return false;
+        }
+    }
+
+    /** Whether another backend server is not known to be full; sending to a full one would only add to the load. */
+    private hasOtherWithRoom(context: RequestContext, tried: ReadonlySet<string>): boolean {
+        const service = context.matched.serviceName;
+        return this.parts.membership.livePeersOf(service)
+            .some(host => !tried.has(host.name) && this.parts.balancer.hasRoom(host.name));
     }
 }
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -4,6 +4,7 @@
 import { nameSchema } from "@radishrouter/core";
 import { readFileSync } from "node:fs";
 import { z } from "zod";
+import { policySchema } from "./policy.js";
 
 const portSchema = z.number().int().min(1).max(65_535);
 
@@ -38,6 +39,8 @@
     /** Secret that all nodes of the deployment share; proves that a peer belongs to it. */
     deploymentSecret: z.string().min(16),
     statsd: z.strictObject({ address: z.string().min(1), port: portSchema }).optional(),
+    /** Overload policies in force; anything but `full` is for measuring what the policies are worth. */
+    policy: policySchema.default("full"),
     limits: z.strictObject({
         /** Largest request body in bytes. */
         bodyBytes: z.number().int().positive().default(10_485_760),
--- a/packages/daemon/src/request/forwarded-headers.ts
+++ b/packages/daemon/src/request/forwarded-headers.ts
@@ -18,6 +18,8 @@
     readonly importance: Importance;
     readonly remainingMs: number;
     readonly retries: number;
+    /** Whether an earlier attempt may have run. */
+    readonly isRepeat: boolean;
 }
 
 const wholeNumberSchema = z.string().regex(/^[0-9]{1,9}$/).transform(Number);
@@ -45,5 +47,5 @@
         const name = parsed.error.issues[0]?.path[0] as keyof typeof forwardHeaders;
         throw RequestError.create("malformed-request", { detail: `${forwardHeaders[name]}: missing or out of bounds` });
     }
-    return parsed.data;
+    return { ...parsed.data, isRepeat: headers[forwardHeaders.repeat] !== undefined };
 }
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -28,6 +28,8 @@
     importance: "radishrouter-importance",
     remainingMs: "radishrouter-remaining-ms",
     retries: "radishrouter-retries",
+    /** Present when an earlier attempt may have run. */
+    repeat: "radishrouter-repeat",
     /** Set when the receiver owns the idempotency key and has to decide whether the request may run. */
     keyOwner: "radishrouter-key-owner",
 } as const;
@@ -38,6 +40,8 @@
     retriesLeft: "radishrouter-retries-left",
     waitedMs: "radishrouter-waited-ms",
     load: "radishrouter-load",
+    /** Tightest admission level that the request met, such as `items=0.42`. */
+    admission: "radishrouter-admission",
 } as const;
 
 const hopByHopHeaders = new Set([
--- a/packages/daemon/src/request/request-context.ts
+++ b/packages/daemon/src/request/request-context.ts
@@ -1,7 +1,7 @@
 /**
  * What a node knows about one request while it is in flight.
  */
-import type { Importance, MatchedRoute, RetryBudget } from "@radishrouter/core";
+import type { ChainPressure, Importance, MatchedRoute, RetryBudget } from "@radishrouter/core";
 import type { Readable } from "node:stream";
 import type { HeaderMap } from "./request-headers.js";
 
@@ -18,6 +18,10 @@
     /** Time of the process clock by which the request has to be answered. */
     readonly deadlineMs: number;
     readonly retryBudget: RetryBudget;
+    /** Whether an earlier attempt may have run, so that each onward call may be a repeat and counts as a retry. */
+    readonly isRepeat: boolean;
+    /** Admission levels that the request and its onward calls met. */
+    readonly chainPressure: ChainPressure;
     /** Aborted when the caller has gone away or the deadline has passed. */
     readonly signal: AbortSignal;
 }
@@ -30,3 +34,8 @@
     /** Milliseconds that the request waited in queues. */
     readonly waitedMs: number;
 }
+
+/** Name of the route of a request, the same for all requests of the route. */
+export function routeNameOf(matched: MatchedRoute): string {
+    return `${matched.route.method} /${matched.serviceName}${matched.route.path}`;
+}
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -1,7 +1,10 @@
 /**
  * All scenarios of the bench.
  */
+import { overloadScenario } from "./overload/overload-scenario.js";
 import type { Scenario } from "./scenario.js";
 
 /** Scenarios by the order in which they are listed. */
-export const scenarios: readonly Scenario[] = [];
+export const scenarios: readonly Scenario[] = [
+    overloadScenario,
+];
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -35,6 +35,8 @@
     readonly configuration: Configuration;
     /** Whether traffic between hosts and to the platform goes through the fault-injecting proxy. */
     readonly proxied?: boolean;
+    /** Overload policies of the nodes, as in their settings; all when absent. */
+    readonly policy?: "full" | "plain" | { readonly without: readonly string[]; };
     /** Distinguishes fleets of one process. */
     readonly addressSeed?: number;
     /** Rate limiter of the nodes; see the settings. */
@@ -326,6 +328,7 @@
             },
             platform: { url: `http://${platformAddress}:${ports.platform}` },
             deploymentSecret,
+            policy: this.options.policy,
             limits: specification.limits,
             ...this.options.settings,
             rateLimiter: this.options.rateLimiter,
--- a/packages/testbed/src/standin/backend-server.ts
+++ b/packages/testbed/src/standin/backend-server.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { Pool } from "undici";
 import { z } from "zod";
 
@@ -18,6 +19,8 @@
     mode: z.enum(["normal", "hang", "truncate"]).default("normal"),
     /** Bytes of each answer besides its description. */
     answerBytes: z.number().int().min(0).default(0),
+    /** `brief` leaves the headers out, for runs with much load. */
+    records: z.enum(["full", "brief"]).default("full"),
 });
 
 /** How a stand-in backend server behaves; see {@link backendBehaviourSchema}. */
@@ -85,8 +88,13 @@
     }
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const cancelled = new AbortController();
+        response.once("close", () => cancelled.abort());
         await this.enter();
         try {
+            if (cancelled.signal.aborted) {
+                return;
+            }
             this.record("start", request);
             if (request.headers[CRASH_HEADER] !== undefined) {
                 process.exit(1);
@@ -96,8 +104,8 @@
                 return;
             }
             const received = await countBytes(request);
-            await sleep(this.behaviour.serviceMs);
-            const status = await this.callOnward(request);
+            await sleep(this.behaviour.serviceMs, undefined, { signal: cancelled.signal });
+            const status = await this.callOnward(request, cancelled.signal);
             this.answer(request, response, status, received);
             this.record("end", request);
         }
@@ -123,11 +131,12 @@
         response.end(body);
     }
 
-    private async callOnward(request: IncomingMessage): Promise<number> {
+    private async callOnward(request: IncomingMessage, signal: AbortSignal): Promise<number> {
         for (const target of this.behaviour.onwardCalls) {
             const answer = await this.node.request({
                 method: "GET",
                 path: target,
+                signal,
                 headers: {
                     "radishrouter-handle": String(request.headers["radishrouter-handle"]),
                     "x-request-id": String(request.headers["x-request-id"]),
@@ -161,7 +170,7 @@
             method: request.method ?? "",
             path: request.url ?? "",
             timeMs: Date.now(),
-            headers: event === "start" ? request.headers : {},
+            headers: event === "start" && this.behaviour.records === "full" ? request.headers : {},
         };
         process.stdout.write(`${JSON.stringify(record)}\n`);
     }
@@ -171,8 +180,9 @@
         for await (const chunk of request) {
             chunks.push(chunk as Buffer);
         }
-        const change = backendBehaviourSchema.partial().parse(JSON.parse(Buffer.concat(chunks).toString() || "{}"));
-        this.behaviour = { ...this.behaviour, ...change };
+        const change = z.record(z.string(), z.unknown()).parse(JSON.parse(Buffer.concat(chunks).toString() || "{}"));
+        // The schema fills in defaults, so it sees the whole behaviour and not just the change.
+        this.behaviour = backendBehaviourSchema.parse({ ...this.behaviour, ...change });
         response.end(JSON.stringify(this.behaviour));
     }
 }
@@ -184,10 +194,6 @@
     });
 }
 
-function sleep(durationMs: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, durationMs));
-}
-
 async function countBytes(request: IncomingMessage): Promise<number> {
     let bytes = 0;
     for await (const chunk of request) {
