--- a/packages/core/src/process/load-balancer.ts
+++ b/packages/core/src/process/load-balancer.ts
@@ -8,8 +8,8 @@
 
 /** How a request that was sent to a host ended. */
 export type SendOutcome =
-    /** The host answered, with what it told of its load. */
-    | { readonly kind: "answered"; readonly load?: LocalLoad; }
+    /** The host answered, with what it told of its load and of the calls below the request. */
+    | { readonly kind: "answered"; readonly load?: LocalLoad; readonly callsBelow?: number; }
     /** The host refused the request because it is at capacity. */
     | { readonly kind: "refused"; readonly load?: LocalLoad; }
     /** The connection failed. */
--- a/packages/core/src/process/observed-host.ts
+++ b/packages/core/src/process/observed-host.ts
@@ -8,9 +8,10 @@
 const LATENCY_WEIGHT = 0.2;
 /** Time for which a load that a host told is believed. */
 const LOAD_VALID_MS = 250;
-/** Silence that is never taken for hanging, beside what the latency explains. */
+/** Silence that is never taken for hanging, for the host itself and each call below it, beside the latency. */
 const SILENCE_AT_LEAST_MS = 300;
 const SILENCE_LATENCY_RATIO = 4;
+const CALLS_BELOW_FADE = 0.95;
 const PROBE_INTERVAL_MS = 1_000;
 /** Time over which a new or returned host goes from a small part of its share to the whole. */
 const RAMP_UP_MS = 5_000;
@@ -26,6 +27,8 @@
     private readonly open = new Map<number, number>();
     private nextNumber = 0;
     private latencyMs = 0;
+    /** Calls that requests on the host make one under the other; each may itself wait for a host that hangs. */
+    private callsBelow = 0;
     private load: LocalLoad | undefined;
     /** Own open requests when the load was told, which are part of it. */
     private openAtLoad = 0;
@@ -123,6 +126,7 @@
         switch (outcome.kind) {
             case "answered":
                 this.latencyMs += (nowMs - startMs - this.latencyMs) * LATENCY_WEIGHT;
+                this.callsBelow = Math.max(outcome.callsBelow ?? 0, this.callsBelow * CALLS_BELOW_FADE);
                 this.recordAnswer(nowMs, outcome.load);
                 return;
             case "refused":
@@ -155,6 +159,6 @@
     }
 
     private allowedSilenceMs(): number {
-        return SILENCE_AT_LEAST_MS + SILENCE_LATENCY_RATIO * this.latencyMs;
+        return SILENCE_AT_LEAST_MS * (1 + this.callsBelow) + SILENCE_LATENCY_RATIO * this.latencyMs;
     }
 }
--- a/packages/core/src/request/chain-pressure.ts
+++ b/packages/core/src/request/chain-pressure.ts
@@ -15,6 +15,7 @@
 /** Keeps the tightest admission level that a request met, over its whole call graph. */
 export class ChainPressure {
     private level: AdmissionLevel | undefined;
+    private depth = 0;
 
     private constructor() {}
 
@@ -27,6 +28,16 @@
         return this.level;
     }
 
+    /** Calls that stand below the request one under the other. */
+    get callsBelow(): number {
+        return this.depth;
+    }
+
+    /** Records that an answer came back from a call with so many calls below it. */
+    observeCall(callsBelow: number): void {
+        this.depth = Math.max(this.depth, callsBelow + 1);
+    }
+
     /** Records the level that a service told. */
     observe(level: AdmissionLevel): void {
         if (!this.level || level.pressure >= this.level.pressure) {
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -63,6 +63,7 @@
         // What is told to be left is taken out, so that onward calls after this answer cannot use it as well.
         [answerHeaders.retriesLeft]: String(retryBudget.takePart()),
         [answerHeaders.load]: JSON.stringify(parts.load()),
+        [answerHeaders.callsBelow]: String(chainPressure.callsBelow),
         ...describePressure(chainPressure),
     });
     try {
--- a/packages/daemon/src/process/peer-forwarder.ts
+++ b/packages/daemon/src/process/peer-forwarder.ts
@@ -14,6 +14,7 @@
 import { createConnectionError, createPool } from "./http-pools.js";
 
 const CONNECTIONS_PER_PEER = 256;
+const CALLS_BELOW_AT_MOST = 32;
 const loadSchema = nodeStatusSchema.shape.load;
 
 /** Parts that a forwarder works with. */
@@ -122,11 +123,16 @@
     const retriesLeft = Number(response.headers[answerHeaders.retriesLeft]) || 0;
     context.retryBudget.putBack(Math.min(retries, retriesLeft));
     const level = parseAdmissionLevel(String(response.headers[answerHeaders.admission] ?? ""));
+    context.chainPressure.observeCall(readCallsBelow(response));
     if (level) {
         context.chainPressure.observe(level);
     }
 }
 
+function readCallsBelow(response: Dispatcher.ResponseData): number {
+    return Math.min(CALLS_BELOW_AT_MOST, Number(response.headers[answerHeaders.callsBelow]) || 0);
+}
+
 function readLoad(response: Dispatcher.ResponseData): LocalLoad | undefined {
     try {
         return loadSchema.parse(JSON.parse(String(response.headers[answerHeaders.load])));
@@ -141,8 +147,9 @@
     onAnswer: (outcome: SendOutcome) => void = () => undefined,
 ): Promise<Answer> {
     const load = readLoad(response);
+    const callsBelow = readCallsBelow(response);
     if (response.headers[answerHeaders.outcome] === "answered") {
-        onAnswer({ kind: "answered", load });
+        onAnswer({ kind: "answered", load, callsBelow });
         return {
             status: response.statusCode,
             headers: createReturnHeaders(response.headers),
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -40,6 +40,8 @@
     retriesLeft: "radishrouter-retries-left",
     waitedMs: "radishrouter-waited-ms",
     load: "radishrouter-load",
+    /** Calls that stood below the request one under the other. */
+    callsBelow: "radishrouter-calls-below",
     /** Tightest admission level that the request met, such as `items=0.42`. */
     admission: "radishrouter-admission",
 } as const;
--- a/packages/testbed/src/test/chain.test.ts
+++ b/packages/testbed/src/test/chain.test.ts
@@ -21,6 +21,7 @@
     services: Object.fromEntries(services.map(name => [name, { routes, retryBudget: RETRY_BUDGET }])),
     failureDomains: { "khomas-a": { region: "khomas", seats: 6 } },
 });
+const middleHosts = ["accessions-0", "accessions-1"] as const;
 const deepHosts = ["items-0", "items-1", "items-2"] as const;
 
 describe("a chain of three services", () => {
@@ -30,7 +31,12 @@
         const place = { failureDomain: "khomas-a", region: "khomas" };
         const hosts = [
             { ...place, name: "catalogue-0", service: "catalogue", onwardCalls: ["/accessions/read/1"] },
-            { ...place, name: "accessions-0", service: "accessions", onwardCalls: ["/items/read/1"] },
+            ...middleHosts.map(name => ({
+                ...place,
+                name,
+                service: "accessions",
+                onwardCalls: ["/items/read/1"],
+            })),
             ...deepHosts.map(name => ({ ...place, name, service: "items", onwardCalls: [] })),
         ];
         fleet = await Fleet.create({
@@ -73,7 +79,10 @@
         await setDeepMode("hang");
         const caller = new AbortController();
         const sent = send("cancelled", { signal: caller.signal }).catch(() => "aborted");
-        await waitFor(() => startsOf("cancelled").some(run => run.host.startsWith("items")), "the deepest service runs");
+        await waitFor(
+            () => startsOf("cancelled").some(run => run.host.startsWith("items")),
+            "the deepest service runs",
+        );
         caller.abort();
         assert.equal(await sent, "aborted");
         await waitForIdle();
@@ -100,7 +109,7 @@
     test("a hung server gets only probes, and no idempotent request is lost", async () => {
         await waitFor(async () => {
             await send("before");
-            return new Set(startsOf("before").map(run => run.host)).size === services.length - 1 + deepHosts.length;
+            return new Set(startsOf("before").map(run => run.host)).size === fleet.hosts.size;
         }, "every deep server has run requests");
         await fleet.setBehaviour("items-0", { mode: "hang" });
         const statuses = await Promise.all(Array.from({ length: 30 }, (_, index) => send(`first-${index}`)));
