Merge the overload policy

Both sides kept connections to the backend server: one class now has both a pool for each kind of request and the published number of connections.

--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -4,6 +4,7 @@
 import {
     AuditTrail,
     ConcurrencyLimiter,
+    EntryAdmission,
     IdempotencyTable,
     LoadBalancer,
     OutcomeLedger,
@@ -39,6 +40,8 @@
 import { createRateLimiter } from "./node-rate-limiter.js";
 import { OpenRequests } from "./open-requests.js";
 import { PeerForwarder } from "./peer-forwarder.js";
+import { isInForce } from "./policy.js";
+import type { PolicyName } from "./policy.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
 import { ServerConnections } from "./server-connections.js";
 import type { Settings } from "./settings.js";
@@ -46,6 +49,8 @@
 /** Time for the last control messages to go out at a planned stop. */
 const CONTROL_FLUSH_MS = 150;
 const SLOTS_WITHOUT_CONFIGURATION = 1;
+const CONNECTIONS_WITHOUT_CONFIGURATION = 1;
+const WEIGHT_WITHOUT_RATE = 1;
 
 /** The coordination parts of a node, which live as long as its process. */
 interface NodeParts {
@@ -57,6 +62,8 @@
     readonly rateLimiter: RateLimiter;
     readonly limiter: ConcurrencyLimiter;
     readonly fleetState: FleetState;
+    readonly connections: ServerConnections;
+    readonly entryAdmission: EntryAdmission | undefined;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
     readonly dispatcher: KeyedDispatcher;
@@ -152,7 +159,8 @@
         this.controlServer = this.parts.channels.createServer();
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
-        await this.open(createBackendServer(shared), ports.backend, loopbackAddress);
+        const sharesDeadline = isInForce(this.settings.policy, "shared-deadline");
+        await this.open(createBackendServer({ ...shared, sharesDeadline }), ports.backend, loopbackAddress);
         const metrics = () => collectMetrics(this.metricsSources());
         const operators = createOperatorsServer({ ...shared, status: () => this.status(), metrics });
         await this.open(operators, ports.operators, loopbackAddress);
@@ -170,14 +178,23 @@
         const service = version.configuration.services[this.settings.service];
         if (service) {
             this.parts.limiter.setSlots(service.slots);
+            this.parts.connections.setConnections(service.connections);
         }
+        const { organisations } = version.configuration;
+        this.parts.limiter.setWeights(name => organisations[name]?.rate ?? WEIGHT_WITHOUT_RATE);
     }
 }
 
 function createParts(settings: Settings): NodeParts {
     const clock = SystemClock.create();
     const audit = AuditTrail.create();
-    const limiter = ConcurrencyLimiter.create(clock, { slots: SLOTS_WITHOUT_CONFIGURATION });
+    const inForce = (name: PolicyName) => isInForce(settings.policy, name);
+    const limiter = ConcurrencyLimiter.create(clock, {
+        slots: SLOTS_WITHOUT_CONFIGURATION,
+        adaptive: inForce("adaptive-limit"),
+        fair: inForce("fair-queue"),
+        unlimited: !inForce("concurrency-limit"),
+    });
     const handles = HandleTable.create();
     const proof = DeploymentProof.create(settings.deploymentSecret);
     const incarnation = BigInt(Date.now());
@@ -189,20 +206,33 @@
     const forwarder = PeerForwarder.create({ clock, proof, ...identity });
     const connections = ServerConnections.create({
         ...settings.backendServer,
-        connections: 512,
+        connections: CONNECTIONS_WITHOUT_CONFIGURATION,
         localAddress: settings.address,
     });
     const silence = BackendSilence.create(clock, () => connections.renew());
-    const runner = BackendRunner.create({ clock, limiter, handles, connections, silence });
+    const balancer = LoadBalancer.create(clock, { blind: !inForce("load-balancing") });
+    const ownService = settings.service;
+    const runner = BackendRunner.create({
+        clock,
+        ownService,
+        limiter,
+        handles,
+        connections,
+        silence,
+        balancer,
+        ...identity,
+    });
     const unkeyed = RequestDispatcher.create({
         clock,
-        ownService: settings.service,
-        ownFailureDomain: settings.failureDomain,
+        ownName: settings.host,
+        ownService,
+        location: settings,
         membership,
-        balancer: LoadBalancer.create(),
+        balancer,
         runner,
         forwarder,
-        hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
+        hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit || !inForce("concurrency-limit"),
+        sharesRetries: inForce("shared-retries"),
     });
     const { failureDomain, seat, limits } = settings;
     const authority = SeatAuthority.create({
@@ -239,6 +269,8 @@
         rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
         fleetState,
+        connections,
+        entryAdmission: inForce("chain-feedback") ? EntryAdmission.create(clock) : undefined,
         channels,
         seats,
         authority,
--- a/packages/daemon/src/process/peer-forwarder.ts
+++ b/packages/daemon/src/process/peer-forwarder.ts
@@ -1,8 +1,8 @@
 /**
  * Forwards requests to nodes of other hosts.
  */
-import type { Clock, Host } from "@radishrouter/core";
-import { RequestError, resultNameOf } from "@radishrouter/core";
+import type { Clock, Host, LocalLoad, ResultName, SendOutcome } from "@radishrouter/core";
+import { nodeStatusSchema, parseAdmissionLevel, RequestError, resultNameOf } from "@radishrouter/core";
 import { randomBytes } from "node:crypto";
 import type { Dispatcher } from "undici";
 import { answerHeaders, forwardHeaders } from "../request/header-names.js";
@@ -16,9 +16,9 @@
 import { ServerConnections } from "./server-connections.js";
 import { SilenceWatch } from "./silence-watch.js";
 
-/** Retries that stay here, for when the peer never answers; the others go along to the calls further down. */
-const RETRIES_KEPT = 1;
-const CONNECTIONS_PER_PEER = 32;
+const CONNECTIONS_PER_PEER = 256;
+const CALLS_BELOW_AT_MOST = 32;
+const loadSchema = nodeStatusSchema.shape.load;
 
 /** Parts that a forwarder works with. */
 export interface PeerForwarderParts {
@@ -32,6 +32,8 @@
 export interface ForwardOptions {
     /** Whether the peer owns the idempotency key of the request, rather than a backend server of its service. */
     readonly toKeyOwner?: boolean;
+    /** Called with what the answer tells of the host. */
+    readonly onAnswer?: (outcome: SendOutcome) => void;
 }
 
 /** Sends requests to other nodes and reads their answers. */
@@ -57,15 +59,14 @@
         body: RequestBody,
         options: ForwardOptions = {},
     ): Promise<Answer> {
-        const retries = context.retryBudget.takePart(context.retryBudget.left - RETRIES_KEPT);
+        const retries = context.retryBudget.takePartForCall(context.isRepeat);
+        const headers = {
+            ...this.createHeaders(context, retries),
+            ...(options.toKeyOwner ? { [forwardHeaders.keyOwner]: "1" } : {}),
+        };
+        let response: Dispatcher.ResponseData;
         try {
-            const headers = {
-                ...this.createHeaders(context, retries),
-                ...(options.toKeyOwner ? { [forwardHeaders.keyOwner]: "1" } : {}),
-            };
-            const response = await this.exchange(host, context, headers, body);
-            context.retryBudget.putBack(Number(response.headers[answerHeaders.retriesLeft] ?? 0));
-            return await readAnswer(response);
+            response = await this.exchange(host, context, headers, body);
         }
         catch (error) {
             if (context.signal.aborted && context.signal.reason instanceof RequestError) {
@@ -77,6 +78,8 @@
             }
             throw failure;
         }
+        readFeedback(response, context, retries);
+        return await readAnswer(response, options.onAnswer);
     }
 
     /** Closes all connections after the requests on them have ended. */
@@ -126,6 +129,7 @@
                 Math.max(0, Math.floor(context.deadlineMs - this.parts.clock.nowMs())),
             ),
             [forwardHeaders.retries]: String(retries),
+            ...(context.isRepeat ? { [forwardHeaders.repeat]: "1" } : {}),
         };
     }
 
@@ -145,8 +149,38 @@
     }
 }
 
-async function readAnswer(response: Dispatcher.ResponseData): Promise<Answer> {
+/** Takes back unused retries and learns how hard the request was to admit. */
+function readFeedback(response: Dispatcher.ResponseData, context: RequestContext, retries: number): void {
+    const retriesLeft = Number(response.headers[answerHeaders.retriesLeft]) || 0;
+    context.retryBudget.putBack(Math.min(retries, retriesLeft));
+    const level = parseAdmissionLevel(String(response.headers[answerHeaders.admission] ?? ""));
+    context.chainPressure.observeCall(readCallsBelow(response));
+    if (level) {
+        context.chainPressure.observe(level);
+    }
+}
+
+function readCallsBelow(response: Dispatcher.ResponseData): number {
+    return Math.min(CALLS_BELOW_AT_MOST, Number(response.headers[answerHeaders.callsBelow]) || 0);
+}
+
+function readLoad(response: Dispatcher.ResponseData): LocalLoad | undefined {
+    try {
+        return loadSchema.parse(JSON.parse(String(response.headers[answerHeaders.load])));
+    }
+    catch {
+        return undefined;
+    }
+}
+
+async function readAnswer(
+    response: Dispatcher.ResponseData,
+    onAnswer: (outcome: SendOutcome) => void = () => undefined,
+): Promise<Answer> {
+    const load = readLoad(response);
+    const callsBelow = readCallsBelow(response);
     if (response.headers[answerHeaders.outcome] === "answered") {
+        onAnswer({ kind: "answered", load, callsBelow });
         return {
             status: response.statusCode,
             headers: createReturnHeaders(response.headers),
@@ -155,9 +189,25 @@
         };
     }
     const problem = problemDocumentSchema.parse(await response.body.json());
-    throw RequestError.create(resultNameOf(problem.code) ?? "internal-error", {
+    const name = resultNameOf(problem.code) ?? "internal-error";
+    onAnswer(outcomeOf(name, load));
+    throw RequestError.create(name, {
         detail: problem.detail,
         execution: problem.execution,
         retryAfterMs: problem.retryAfterMs,
     });
 }
+
+/** What a refusal tells of the host. */
+function outcomeOf(name: ResultName, load: LocalLoad | undefined): SendOutcome {
+    switch (name) {
+        case "overloaded":
+        case "deadline-too-near":
+            return { kind: "refused", load };
+        case "caller-gone":
+        case "deadline-exceeded":
+            return { kind: "abandoned" };
+        default:
+            return { kind: "failed" };
+    }
+}
--- a/packages/daemon/src/process/server-connections.ts
+++ b/packages/daemon/src/process/server-connections.ts
@@ -15,9 +15,9 @@
     private idempotent: Pool;
     private nonIdempotent: Pool;
 
-    private constructor(private readonly options: PoolOptions) {
-        this.idempotent = createPool({ ...options, idleMs: IDLE_MS });
-        this.nonIdempotent = createPool({ ...options, idleMs: UNPROVEN_MS });
+    private constructor(private options: PoolOptions) {
+        this.idempotent = createHalf(options, IDLE_MS);
+        this.nonIdempotent = createHalf(options, UNPROVEN_MS);
     }
 
     static create(options: PoolOptions): ServerConnections {
@@ -32,8 +32,16 @@
     /** Puts no further request on the connections that are open now; those that run may end. */
     renew(): void {
         void this.close();
-        this.idempotent = createPool({ ...this.options, idleMs: IDLE_MS });
-        this.nonIdempotent = createPool({ ...this.options, idleMs: UNPROVEN_MS });
+        this.idempotent = createHalf(this.options, IDLE_MS);
+        this.nonIdempotent = createHalf(this.options, UNPROVEN_MS);
+    }
+
+    /** Changes how many connections the server accepts; requests on the old connections end before these are closed. */
+    setConnections(connections: number): void {
+        if (connections !== this.options.connections) {
+            this.options = { ...this.options, connections };
+            this.renew();
+        }
     }
 
     /** Closes all connections after the requests on them have ended. */
@@ -41,3 +49,8 @@
         await Promise.all([this.idempotent.close(), this.nonIdempotent.close()]);
     }
 }
+
+/** Opens one of the two pools, which together stay within the number of connections that the server accepts. */
+function createHalf(options: PoolOptions, idleMs: number): Pool {
+    return createPool({ ...options, connections: Math.max(1, Math.floor(options.connections / 2)), idleMs });
+}
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -30,6 +30,8 @@
     retries: "radishrouter-retries",
     /** Names one exchange; the answer repeats it, so that it cannot be taken for the answer to another request. */
     exchange: "radishrouter-exchange",
+    /** Present when an earlier attempt may have run. */
+    repeat: "radishrouter-repeat",
     /** Set when the receiver owns the idempotency key and has to decide whether the request may run. */
     keyOwner: "radishrouter-key-owner",
 } as const;
@@ -40,6 +42,10 @@
     retriesLeft: "radishrouter-retries-left",
     waitedMs: "radishrouter-waited-ms",
     load: "radishrouter-load",
+    /** Calls that stood below the request one under the other. */
+    callsBelow: "radishrouter-calls-below",
+    /** Tightest admission level that the request met, such as `items=0.42`. */
+    admission: "radishrouter-admission",
 } as const;
 
 const hopByHopHeaders = new Set([
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -2,6 +2,8 @@
  * All scenarios of the bench.
  */
 import { fleetRateScenario } from "./fleet-rate.js";
+import { hangScenario } from "./hang/hang-scenario.js";
+import { overloadScenario } from "./overload/overload-scenario.js";
 import type { Scenario } from "./scenario.js";
 import { transportScenario } from "./transport/transport-scenario.js";
 
@@ -9,4 +11,6 @@
 export const scenarios: readonly Scenario[] = [
     fleetRateScenario,
     transportScenario,
+    overloadScenario,
+    hangScenario,
 ];
