--- a/packages/core/src/process/membership-view.ts
+++ b/packages/core/src/process/membership-view.ts
@@ -7,6 +7,7 @@
 export class MembershipView {
     private hosts: ReadonlyMap<string, Host> = new Map();
     private revision = -1;
+    private readonly leaving = new Set<string>();
 
     private constructor(private readonly ownName: string) {}
 
@@ -23,6 +24,16 @@
         this.hosts = new Map(list.hosts.map(host => [host.name, host]));
     }
 
+    /** Stops new work for a host that said itself, or whose answers showed, that it is draining. */
+    markLeaving(name: string, _source: string): void {
+        this.leaving.add(name);
+    }
+
+    /** Allows new work for a host whose process was replaced. */
+    markReturned(name: string): void {
+        this.leaving.delete(name);
+    }
+
     /** Host of a name, also when it is leaving. */
     find(name: string): Host | undefined {
         return this.hosts.get(name);
@@ -30,7 +41,9 @@
 
     /** Hosts other than this one that may get new work. */
     livePeers(): Host[] {
-        return [...this.hosts.values()].filter(host => host.state === "live" && host.name !== this.ownName);
+        return [...this.hosts.values()].filter(host =>
+            host.state === "live" && host.name !== this.ownName && !this.leaving.has(host.name)
+        );
     }
 
     /** Hosts other than this one that may get new work of a service. */
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -13,6 +13,7 @@
 } from "@radishrouter/core";
 import createDebug from "debug";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { DrainState } from "../process/drain-state.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
@@ -35,8 +36,8 @@
     readonly dispatcher: KeyedDispatcher;
     /** Configuration in force; undefined until the first one has arrived. */
     readonly version: () => ConfigurationVersion | undefined;
-    /** Whether the node is shutting down. */
-    readonly isStopping: () => boolean;
+    /** Planned stop of the node; what callers send on open connections is served until these are closed. */
+    readonly drain: DrainState;
 }
 
 interface Admission {
@@ -76,6 +77,9 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
+    if (parts.drain.stage !== "running") {
+        response.setHeader("connection", "close");
+    }
     if (request.url === ISSUED_KEYS_TARGET) {
         return issueIdempotencyKey(parts, request, response);
     }
@@ -121,9 +125,6 @@
 
 function admit(parts: CallerListenerParts, request: IncomingMessage): Admission {
     const version = parts.version();
-    if (parts.isStopping()) {
-        throw RequestError.create("node-stopping");
-    }
     if (!version) {
         throw RequestError.create("configuration-missing");
     }
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
+import type { DrainState } from "../process/drain-state.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { PROGRESS_INTERVAL_MS } from "../process/silence-watch.js";
@@ -31,7 +32,7 @@
     readonly dispatcher: KeyedDispatcher;
     readonly load: () => LocalLoad;
     readonly version: () => ConfigurationVersion | undefined;
-    readonly isStopping: () => boolean;
+    readonly drain: DrainState;
 }
 
 /** Creates the server for requests that other nodes forward. */
@@ -64,6 +65,7 @@
         [answerHeaders.outcome]: outcome,
         [answerHeaders.retriesLeft]: String(retryBudget.left),
         [answerHeaders.load]: JSON.stringify(parts.load()),
+        ...(parts.drain.stage === "running" ? {} : { [answerHeaders.draining]: "1", connection: "close" }),
     });
     try {
         const context = createContext(parts, request, forwarded, retryBudget, lifetime.signal);
@@ -117,7 +119,7 @@
     signal: AbortSignal,
 ): RequestContext {
     const version = parts.version();
-    if (parts.isStopping()) {
+    if (parts.drain.stage === "stopping") {
         throw RequestError.create("node-stopping");
     }
     if (!version) {
--- a/packages/daemon/src/connection/http-server.ts
+++ b/packages/daemon/src/connection/http-server.ts
@@ -3,6 +3,7 @@
  */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerOptions, ServerResponse } from "node:http";
+import { Server as NetServer } from "node:net";
 
 /** Handles one request; errors that it throws are defects. */
 export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>;
@@ -18,6 +19,9 @@
     });
 }
 
+/** Time after which a client has closed an idle connection by itself: 5 s that callers are told, and a margin. */
+const IDLE_CLIENT_MS = 5_500;
+
 /** Ends connections whose other end has vanished, and checks the timeouts of requests each second. */
 const livenessOptions: ServerOptions = {
     keepAlive: true,
@@ -32,10 +36,19 @@
     });
 }
 
-/** Stops accepting, closes idle connections, and resolves when the requests on the others have ended. */
+/**
+ * Stops accepting and resolves when all connections have ended.
+ *
+ * An idle connection is left to its client for as long as the server promised to keep it: closing it at once would cut a
+ * request that is on its way.
+ */
 export function closeGracefully(server: Server): Promise<void> {
     return new Promise(resolve => {
-        server.close(() => resolve());
-        server.closeIdleConnections();
+        const idle = setTimeout(() => server.closeIdleConnections(), IDLE_CLIENT_MS);
+        // The close of http.Server closes idle connections at once; that of net.Server does not.
+        NetServer.prototype.close.call(server, () => {
+            clearTimeout(idle);
+            resolve();
+        });
     });
 }
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -28,6 +28,7 @@
 import { BackendRunner } from "./backend-runner.js";
 import { BackendSilence } from "./backend-silence.js";
 import { DeploymentProof } from "./deployment-proof.js";
+import { DrainState } from "./drain-state.js";
 import { HandleTable } from "./handle-table.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { collectMetrics, MetricsSender } from "./metrics.js";
@@ -43,6 +44,11 @@
 const CONTROL_FLUSH_MS = 150;
 const SLOTS_WITHOUT_CONFIGURATION = 1;
 
+/** Time after which a host that was draining is tried again, since its process may have been replaced. */
+const LEAVING_MS = 5_000;
+/** Time for which a node that is to stop takes new work while it tells senders to go elsewhere. */
+const DRAIN_MS = 1_500;
+
 /** The coordination parts of a node, which live as long as its process. */
 interface NodeParts {
     readonly clock: Clock;
@@ -57,6 +63,7 @@
     readonly forwarder: PeerForwarder;
     readonly dispatcher: KeyedDispatcher;
     readonly seats: SeatDirectory;
+    readonly drain: DrainState;
     readonly authority: SeatAuthority;
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
@@ -68,7 +75,6 @@
     private readonly startedAt = new Date();
     private readonly servers: Server[] = [];
     private controlServer: Http2Server | undefined;
-    private stopping = false;
     private metricsSender: MetricsSender | undefined;
 
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
@@ -93,19 +99,29 @@
         this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
-    /** Refuses new work, lets running requests end, and closes everything. */
+    /**
+     * Stops without cutting a request: tells senders to go elsewhere, then refuses new work, lets running requests and
+     * their onward calls end, and closes everything. What still runs after `limits.shutdownMs` is aborted.
+     */
     async stop(): Promise<void> {
-        this.stopping = true;
-        this.parts.audit.record("process-stopping", this.settings.host, "stop requested");
+        const { drain, membership, audit } = this.parts;
+        const { shutdownMs } = this.settings.limits;
+        audit.record("process-stopping", this.settings.host, "stop requested");
+        const limit = setTimeout(() => this.servers.forEach(server => server.closeAllConnections()), shutdownMs);
+        drain.drain();
+        membership.markLeaving(this.settings.host, "drain signal");
+        await new Promise(resolve => setTimeout(resolve, Math.min(DRAIN_MS, shutdownMs)));
+        drain.refuse();
         this.parts.rateLimiter.close();
         const flushed = new Promise(resolve => setTimeout(resolve, CONTROL_FLUSH_MS));
-        const closed = Promise.all([flushed, ...this.servers.map(closeGracefully)]);
-        const limit = setTimeout(
-            () => this.servers.forEach(server => server.closeAllConnections()),
-            this.settings.limits.shutdownMs,
-        );
-        await closed;
+        const [forward, backend, operators, callers] = this.servers;
+        await Promise.all([flushed, ...[callers, forward].map(server => server && closeGracefully(server))]);
+        await Promise.all([backend, operators].map(server => server && closeGracefully(server)));
         clearTimeout(limit);
+        await this.closeParts();
+    }
+
+    private async closeParts(): Promise<void> {
         this.parts.authority.close();
         this.parts.channels.close();
         this.controlServer?.close();
@@ -122,7 +138,7 @@
             service,
             failureDomain,
             startedAt: this.startedAt.toISOString(),
-            state: this.stopping ? "stopping" : "running",
+            state: this.parts.drain.stage === "running" ? "running" : "stopping",
             configurationVersion: this.parts.store.current?.configuration.version,
             livePeers: this.parts.membership.livePeers().map(peer => peer.name),
             rateReadyInMs: Math.min(Number.MAX_SAFE_INTEGER, this.parts.rateLimiter.readyInMs()),
@@ -142,10 +158,9 @@
 
     private async startListeners(): Promise<void> {
         const { address, loopbackAddress, ports } = this.settings;
-        const isStopping = () => this.stopping;
         const version = () => this.parts.store.current;
         const load = () => this.parts.limiter.load();
-        const shared = { ...this.parts, limits: this.settings.limits, isStopping, version, load };
+        const shared = { ...this.parts, limits: this.settings.limits, version, load };
         this.controlServer = this.parts.channels.createServer();
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
@@ -194,7 +209,16 @@
         incarnation,
         findHost: name => membership.find(name),
     });
-    const forwarder = PeerForwarder.create({ clock, proof, ...identity });
+    const drain = DrainState.create();
+    const forwarder = PeerForwarder.create({
+        clock,
+        proof,
+        ...identity,
+        onDraining: host => {
+            membership.markLeaving(host, "its answer");
+            clock.setTimer(LEAVING_MS, () => membership.markReturned(host));
+        },
+    });
     const connections = ServerConnections.create({
         ...settings.backendServer,
         connections: 512,
@@ -204,6 +228,7 @@
     const runner = BackendRunner.create({ clock, limiter, handles, connections, silence });
     const unkeyed = RequestDispatcher.create({
         clock,
+        drain,
         ownService: settings.service,
         ownFailureDomain: settings.failureDomain,
         membership,
@@ -251,6 +276,7 @@
         platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
         channels,
         seats,
+        drain,
         authority,
         forwarder,
         dispatcher,
--- a/packages/daemon/src/process/peer-forwarder.ts
+++ b/packages/daemon/src/process/peer-forwarder.ts
@@ -26,6 +26,8 @@
     readonly ownName: string;
     readonly ownAddress: string;
     readonly proof: DeploymentProof;
+    /** Called when the answer of a host says that it is about to stop. */
+    readonly onDraining: (host: string) => void;
 }
 
 /** How a request is forwarded. */
@@ -108,6 +110,9 @@
                 response.body.on("error", () => undefined).destroy();
                 throw RequestError.create("peer-connection-lost", { detail: "The answer was to another request." });
             }
+            if (response.headers[answerHeaders.draining] !== undefined) {
+                this.parts.onDraining(host.name);
+            }
             return response;
         }
         finally {
--- a/packages/daemon/src/process/request-dispatcher.ts
+++ b/packages/daemon/src/process/request-dispatcher.ts
@@ -7,6 +7,7 @@
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
 import type { BackendRunner } from "./backend-runner.js";
+import type { DrainState } from "./drain-state.js";
 import type { PeerForwarder } from "./peer-forwarder.js";
 
 /** Parts that a dispatcher works with. */
@@ -18,6 +19,7 @@
     readonly balancer: LoadBalancer;
     readonly runner: BackendRunner;
     readonly forwarder: PeerForwarder;
+    readonly drain: DrainState;
     /** Whether the local backend server takes another request without waiting. */
     readonly hasLocalRoom: () => boolean;
 }
@@ -60,7 +62,7 @@
 
     private choose(context: RequestContext, tried: ReadonlySet<string>): Target {
         const service = context.matched.serviceName;
-        const isLocal = service === this.parts.ownService && !tried.has(LOCAL_NAME);
+        const isLocal = this.mayRunHere(service, tried);
         if (isLocal && this.parts.hasLocalRoom()) {
             return { kind: "local" };
         }
@@ -109,7 +111,12 @@
     private hasOther(context: RequestContext, tried: ReadonlySet<string>): boolean {
         const service = context.matched.serviceName;
         return this.parts.membership.livePeersOf(service).some(host => !tried.has(host.name)) ||
-            (service === this.parts.ownService && !tried.has(LOCAL_NAME));
+            this.mayRunHere(service, tried);
+    }
+
+    private mayRunHere(service: string, tried: ReadonlySet<string>): boolean {
+        const { ownService, drain } = this.parts;
+        return service === ownService && drain.stage !== "stopping" && !tried.has(LOCAL_NAME);
     }
 }
 
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -40,6 +40,8 @@
     retriesLeft: "radishrouter-retries-left",
     waitedMs: "radishrouter-waited-ms",
     load: "radishrouter-load",
+    /** Set when the answering node is about to stop and wants no new work. */
+    draining: "radishrouter-draining",
 } as const;
 
 const hopByHopHeaders = new Set([
--- a/packages/testbed/src/fleet/child.ts
+++ b/packages/testbed/src/fleet/child.ts
@@ -52,6 +52,11 @@
         return this.process.exitCode === undefined || (!this.process.exitCode && !this.process.signalCode);
     }
 
+    /** Exit code once the process has ended by itself. */
+    get exitCode(): number | undefined {
+        return this.process.exitCode ?? undefined;
+    }
+
     /** Sends a signal. */
     signal(signal: NodeJS.Signals): void {
         this.process.kill(signal);
--- a/packages/testbed/src/fleet/fault-fleet.ts
+++ b/packages/testbed/src/fleet/fault-fleet.ts
@@ -15,6 +15,7 @@
     readonly limits?: Record<string, number>;
     readonly deadlineMs?: number;
     readonly addressSeed?: number;
+    readonly directBackends?: boolean;
 }
 
 /** Name of the host where requests enter. */
@@ -75,7 +76,8 @@
             limits: options.limits,
         }));
         const { configuration, keys } = example;
-        const fleet = await Fleet.create({ hosts, configuration, proxied: true, addressSeed: options.addressSeed });
+        const { addressSeed, directBackends } = options;
+        const fleet = await Fleet.create({ hosts, configuration, proxied: true, addressSeed, directBackends });
         const caller = RecordingCaller.create(fleet.addresses.client);
         const faultFleet = new FaultFleet(fleet, caller, keys[ORGANISATION]!, options.servers);
         await Promise.all([...fleet.hosts.keys()].map(name => faultFleet.waitForRate(name)));
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -35,6 +35,8 @@
     readonly configuration: Configuration;
     /** Whether traffic between hosts and to the platform goes through the fault-injecting proxy. */
     readonly proxied?: boolean;
+    /** Whether nodes reach their backend servers past the proxy, which cannot refuse a connection as a host does. */
+    readonly directBackends?: boolean;
     /** Distinguishes fleets of one process. */
     readonly addressSeed?: number;
     /** Rate limiter of the nodes; see the settings. */
@@ -197,6 +199,25 @@
         await host.node.ready;
     }
 
+    /** Stops a node as planned, starts a new one in its place, and returns the exit code of the old one. */
+    async replaceNode(name: string): Promise<number | undefined> {
+        const host = this.host(name);
+        const { node } = host;
+        node.signal("SIGTERM");
+        await node.waitForExit();
+        host.node = this.startNode(host.specification, host.settingsFile);
+        await host.node.ready;
+        return node.exitCode;
+    }
+
+    /** Stops a backend server as planned and starts a new one in its place. */
+    async replaceBackend(name: string): Promise<void> {
+        const { backend } = this.host(name);
+        backend.signal("SIGTERM");
+        await backend.waitForExit();
+        await this.restartBackend(name);
+    }
+
     /** Starts a new backend server in the place of one that ended. */
     async restartBackend(name: string): Promise<void> {
         const host = this.host(name);
@@ -321,7 +342,9 @@
                 operators: ports.operators,
             },
             backendServer: {
-                address: this.options.proxied ? this.addresses.proxiedHost(index) : address,
+                address: this.options.proxied && !this.options.directBackends ?
+                    this.addresses.proxiedHost(index) :
+                    address,
                 port: ports.backendServer,
             },
             platform: { url: `http://${platformAddress}:${ports.platform}` },
--- a/packages/testbed/src/fleet/recording-caller.ts
+++ b/packages/testbed/src/fleet/recording-caller.ts
@@ -23,6 +23,8 @@
     | { readonly kind: "answered"; readonly status: number; readonly answeredId: string; readonly replayed: boolean; }
     /** A numbered result of a node. */
     | { readonly kind: "problem"; readonly status: number; readonly code: number; readonly execution: string; }
+    /** No connection could be opened. */
+    | { readonly kind: "unreached"; }
     /** The connection failed or the message was aborted. */
     | { readonly kind: "lost"; readonly detail: string; };
 
@@ -111,6 +113,9 @@
             };
         }
         catch (error) {
+            if (error instanceof Error && "syscall" in error && error.syscall === "connect") {
+                return { kind: "unreached" };
+            }
             return { kind: "lost", detail: error instanceof Error ? `${error.name}: ${error.message}` : String(error) };
         }
     }
@@ -138,10 +143,11 @@
 /** How one run contradicts what a caller received; an empty list is what is wanted. */
 export function findContradictions(sends: readonly SendRecord[], runs: readonly RunRecord[]): string[] {
     const found: string[] = [];
-    const starts = countById(runs.filter(run => run.event === "start"));
-    const ends = countById(runs.filter(run => run.event === "end"));
+    const starts = countByName(runs.filter(run => run.event === "start"));
+    const ends = countByName(runs.filter(run => run.event === "end"));
     for (const [requestId, records] of groupById(sends)) {
-        const started = starts.get(requestId) ?? 0;
+        const name = `${records[0]!.method} ${requestId}`;
+        const started = starts.get(name) ?? 0;
         if (records[0]!.method === "POST" && started > 1) {
             found.push(`${requestId} ran ${started} times`);
         }
@@ -153,7 +159,7 @@
             if (result.kind === "answered" && result.answeredId !== requestId) {
                 found.push(`${requestId} got the answer to ${result.answeredId}`);
             }
-            if (result.kind === "answered" && (ends.get(requestId) ?? 0) === 0) {
+            if (result.kind === "answered" && (ends.get(name) ?? 0) === 0) {
                 found.push(`${requestId} was answered and did not run`);
             }
         }
@@ -161,10 +167,11 @@
     return found;
 }
 
-function countById(runs: readonly RunRecord[]): Map<string, number> {
+function countByName(runs: readonly RunRecord[]): Map<string, number> {
     const counts = new Map<string, number>();
-    for (const { requestId } of runs) {
-        counts.set(requestId, (counts.get(requestId) ?? 0) + 1);
+    for (const { method, requestId } of runs) {
+        const name = `${method} ${requestId}`;
+        counts.set(name, (counts.get(name) ?? 0) + 1);
     }
     return counts;
 }
--- a/packages/testbed/src/standin/backend-server.ts
+++ b/packages/testbed/src/standin/backend-server.ts
@@ -52,12 +52,15 @@
     readonly behaviour: BackendBehaviour;
 }
 
+/** Time for which a server that is to stop answers on new connections and closes each after its answer. */
+const DRAIN_MS = 1_000;
 const CRASH_HEADER = "x-crash";
 
 /** A backend server of its own process. */
 export class StandInBackend {
     private behaviour: BackendBehaviour;
     private running = 0;
+    private draining = false;
     private readonly waiting: (() => void)[] = [];
     private readonly node: Pool;
 
@@ -82,8 +85,8 @@
         await listen(server, this.options.port, this.options.address);
         await listen(control, this.options.port + 1, this.options.address);
         process.once("SIGTERM", () => {
-            server.close(() => process.exit(0));
-            server.closeIdleConnections();
+            this.draining = true;
+            setTimeout(() => server.close(() => process.exit(0)), DRAIN_MS);
         });
     }
 
@@ -117,6 +120,9 @@
             received,
         });
         const body = description + " ".repeat(this.behaviour.answerBytes);
+        if (this.draining) {
+            response.setHeader("connection", "close");
+        }
         const length = Buffer.byteLength(body) + (this.behaviour.mode === "truncate" ? 10 : 0);
         if (this.behaviour.mode === "unframed") {
             request.socket.end(`HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${body.slice(0, body.length / 2)}`);
