--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -4,38 +4,42 @@
 import {
     AuditTrail,
     ConcurrencyLimiter,
-    CONFIGURATION_KEY,
-    HOST_LIST_KEY,
-    hostListSchema,
     IdempotencyTable,
     LoadBalancer,
-    MembershipView,
     OutcomeLedger,
     SeatAuthority,
     SeatDirectory,
     SystemClock,
 } from "@radishrouter/core";
-import type { Clock, ConfigurationVersion, NodeStatus, RateLimiter } from "@radishrouter/core";
+import type {
+    Clock,
+    ConfigurationVersion,
+    HostList,
+    MembershipView,
+    NodeStatus,
+    RateLimiter,
+} from "@radishrouter/core";
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
 import { createBackendServer } from "../connection/backend-listener.js";
 import { createCallerServer } from "../connection/caller-listener.js";
-import { ControlChannels } from "../connection/control-channels.js";
+import type { ControlChannels } from "../connection/control-channels.js";
 import { createForwardServer } from "../connection/forward-listener.js";
 import { closeGracefully, listen } from "../connection/http-server.js";
 import { createOperatorsServer } from "../connection/operators-listener.js";
-import { ConfigurationStore } from "../version/configuration-store.js";
+import type { ConfigurationStore } from "../version/configuration-store.js";
 import { BackendRunner } from "./backend-runner.js";
 import { BackendSilence } from "./backend-silence.js";
 import { DeploymentProof } from "./deployment-proof.js";
 import { DrainState } from "./drain-state.js";
+import { FleetState } from "./fleet-state.js";
 import { HandleTable } from "./handle-table.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { collectMetrics, MetricsSender } from "./metrics.js";
 import type { MetricsSources } from "./metrics.js";
 import { createRateLimiter } from "./node-rate-limiter.js";
+import { OpenRequests } from "./open-requests.js";
 import { PeerForwarder } from "./peer-forwarder.js";
-import { PlatformReader } from "./platform-reader.js";
 import { RequestDispatcher } from "./request-dispatcher.js";
 import { ServerConnections } from "./server-connections.js";
 import type { Settings } from "./settings.js";
@@ -44,8 +48,6 @@
 const CONTROL_FLUSH_MS = 150;
 const SLOTS_WITHOUT_CONFIGURATION = 1;
 
-/** Time after which a host that was draining is tried again, since its process may have been replaced. */
-const LEAVING_MS = 5_000;
 /** Time for which a node that is to stop takes new work while it tells senders to go elsewhere. */
 const DRAIN_MS = 1_500;
 
@@ -58,7 +60,7 @@
     readonly membership: MembershipView;
     readonly rateLimiter: RateLimiter;
     readonly limiter: ConcurrencyLimiter;
-    readonly platform: PlatformReader;
+    readonly fleetState: FleetState;
     readonly channels: ControlChannels;
     readonly forwarder: PeerForwarder;
     readonly dispatcher: KeyedDispatcher;
@@ -68,6 +70,7 @@
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
     readonly proof: DeploymentProof;
+    readonly openRequests: OpenRequests;
 }
 
 /** A running node. */
@@ -90,12 +93,11 @@
 
     /** Starts all listeners and watches; resolves when callers can connect. */
     async start(): Promise<void> {
-        const { audit, store, platform } = this.parts;
+        const { audit, store, fleetState } = this.parts;
         audit.record("process-started", this.settings.host, `process ${process.pid}`);
         store.events.on("inForce", version => this.applyConfiguration(version));
-        void platform.watch(CONFIGURATION_KEY, ({ value }) => store.offer(value, "platform"));
-        void platform.watch(HOST_LIST_KEY, ({ value }) => this.applyHostList(value));
         await this.startListeners();
+        fleetState.start();
         this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
@@ -123,10 +125,9 @@
 
     private async closeParts(): Promise<void> {
         this.parts.authority.close();
-        this.parts.channels.close();
         this.controlServer?.close();
+        await this.parts.fleetState.stop();
         await this.metricsSender?.close();
-        await this.parts.platform.close();
         await this.parts.forwarder.close();
     }
 
@@ -178,19 +179,12 @@
 
     private applyConfiguration(version: ConfigurationVersion): void {
         this.parts.rateLimiter.setConfiguration(version);
+        this.parts.openRequests.endWithdrawn(version);
         const service = version.configuration.services[this.settings.service];
         if (service) {
             this.parts.limiter.setSlots(service.slots);
         }
     }
-
-    private applyHostList(value: unknown): void {
-        const list = hostListSchema.safeParse(value);
-        if (list.success) {
-            this.parts.membership.setPlatformList(list.data);
-            this.parts.seats.setPlatformList(list.data);
-        }
-    }
 }
 
 function createParts(settings: Settings): NodeParts {
@@ -199,25 +193,18 @@
     const limiter = ConcurrencyLimiter.create(clock, { slots: SLOTS_WITHOUT_CONFIGURATION });
     const handles = HandleTable.create();
     const proof = DeploymentProof.create(settings.deploymentSecret);
-    const membership = MembershipView.create({ ownName: settings.host });
     const incarnation = BigInt(Date.now());
     const identity = { ownName: settings.host, ownAddress: settings.address };
-    const channels = ControlChannels.create({
-        clock,
-        proof,
-        ...identity,
-        incarnation,
-        findHost: name => membership.find(name),
-    });
+    const seats = SeatDirectory.create();
+    const onHostList = (list: HostList) => seats.setPlatformList(list);
+    const fleetState = FleetState.create({ clock, audit, proof, settings, incarnation, onHostList });
+    const { membership, store, channels } = fleetState;
     const drain = DrainState.create();
     const forwarder = PeerForwarder.create({
         clock,
         proof,
         ...identity,
-        onDraining: host => {
-            membership.markLeaving(host, "its answer");
-            clock.setTimer(LEAVING_MS, () => membership.markReturned(host));
-        },
+        onDraining: host => membership.markLeaving(host, "its answer"),
     });
     const connections = ServerConnections.create({
         ...settings.backendServer,
@@ -237,9 +224,7 @@
         forwarder,
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
-    const store = ConfigurationStore.create(audit);
     const { failureDomain, seat, limits } = settings;
-    const seats = SeatDirectory.create();
     const authority = SeatAuthority.create({
         clock,
         transport: channels,
@@ -273,7 +258,7 @@
         membership,
         rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
         limiter,
-        platform: PlatformReader.create({ clock, url: settings.platform.url, localAddress: settings.address }),
+        fleetState,
         channels,
         seats,
         drain,
@@ -283,5 +268,6 @@
         runner,
         handles,
         proof,
+        openRequests: OpenRequests.create(),
     };
 }
