Quarantine requests that crash backend servers

Cause: a request that crashes each backend server took down one for each send. Change: what was in flight at a crash is shared with the nodes of the service, run alone, cleared when it completes, and refused after two crashes; a request loses at most two backend servers; sends that reached none use no retry.

--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -72,7 +72,7 @@
         const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
-            replayBytes: isKeyOwner ? parts.limits.replayBytes : 0,
+            replayBytes: parts.limits.replayBytes,
             maximumBytes: parts.limits.bodyBytes,
         });
         const answer = isKeyOwner ?
--- a/packages/daemon/src/process/backend-runner.ts
+++ b/packages/daemon/src/process/backend-runner.ts
@@ -5,11 +5,13 @@
 import { RequestError } from "@radishrouter/core";
 import type { Dispatcher } from "undici";
 import { HANDLE_HEADER } from "../request/header-names.js";
+import { toRequestError } from "../request/problem-document.js";
 import { bodyContent } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
 import { createReturnHeaders } from "../request/request-headers.js";
 import type { BackendSilence } from "./backend-silence.js";
+import type { CrashWatch, WatchedRun } from "./crash-watch.js";
 import type { HandleTable } from "./handle-table.js";
 import { createConnectionError } from "./http-pools.js";
 import type { ServerConnections } from "./server-connections.js";
@@ -21,6 +23,7 @@
     readonly handles: HandleTable;
     readonly connections: ServerConnections;
     readonly silence: BackendSilence;
+    readonly crashes: CrashWatch;
 }
 
 /** Sends requests to the local backend server within its concurrency limit. */
@@ -37,6 +40,23 @@
      * @throws RequestError when the request was shed or its outcome is unknown.
      */
     async run(context: RequestContext, body: RequestBody): Promise<Answer> {
+        const watched = await this.parts.crashes.admit(context, body);
+        try {
+            return await this.runAdmitted(context, body, watched);
+        }
+        catch (error) {
+            const failure = toRequestError(error);
+            if (failure.result.name === "backend-connection-lost") {
+                await watched.lost();
+            }
+            else {
+                watched.ended();
+            }
+            throw failure;
+        }
+    }
+
+    private async runAdmitted(context: RequestContext, body: RequestBody, watched: WatchedRun): Promise<Answer> {
         const permit = await this.parts.limiter.acquire(context);
         const handle = this.parts.handles.issue(context);
         const end = (outcome: RunOutcome) => {
@@ -44,7 +64,9 @@
             permit.release(outcome);
         };
         try {
-            return await this.send(context, body, handle, permit, end);
+            const answer = await this.send(context, body, handle, permit, end);
+            answer.body.once("close", () => answer.body.errored ? void watched.lost() : watched.completed());
+            return answer;
         }
         catch (error) {
             const failure = this.classify(context, error);
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -7,6 +7,7 @@
     IdempotencyTable,
     LoadBalancer,
     OutcomeLedger,
+    Quarantine,
     SeatAuthority,
     SeatDirectory,
     SystemClock,
@@ -30,6 +31,7 @@
 import type { ConfigurationStore } from "../version/configuration-store.js";
 import { BackendRunner } from "./backend-runner.js";
 import { BackendSilence } from "./backend-silence.js";
+import { CrashWatch } from "./crash-watch.js";
 import { DeploymentProof } from "./deployment-proof.js";
 import { DrainState } from "./drain-state.js";
 import { FleetState } from "./fleet-state.js";
@@ -51,6 +53,8 @@
 /** Time for which a node that is to stop takes new work while it tells senders to go elsewhere. */
 const DRAIN_MS = 1_500;
 
+const QUARANTINE_OPTIONS = { expiryMs: 600_000, maximumEntries: 4_096 };
+
 /** The coordination parts of a node, which live as long as its process. */
 interface NodeParts {
     readonly clock: Clock;
@@ -212,7 +216,16 @@
         localAddress: settings.address,
     });
     const silence = BackendSilence.create(clock, () => connections.renew());
-    const runner = BackendRunner.create({ clock, limiter, handles, connections, silence });
+    const crashes = CrashWatch.create({
+        clock,
+        quarantine: Quarantine.create(clock, QUARANTINE_OPTIONS),
+        transport: channels,
+        ownName: settings.host,
+        incarnation,
+        backendServer: settings.backendServer,
+        servicePeers: () => membership.livePeersOf(settings.service),
+    });
+    const runner = BackendRunner.create({ clock, limiter, handles, connections, silence, crashes });
     const unkeyed = RequestDispatcher.create({
         clock,
         drain,
--- a/packages/daemon/src/process/request-dispatcher.ts
+++ b/packages/daemon/src/process/request-dispatcher.ts
@@ -29,6 +29,10 @@
     | { readonly kind: "peer"; readonly host: Host; };
 
 const LOCAL_NAME = "";
+/** Hosts that one request may find without a backend server before its retries are used. */
+const MAXIMUM_FREE_HOSTS = 3;
+/** Backend servers that one request may lose; after that it is not sent again, since it may crash them. */
+const MAXIMUM_BACKENDS_LOST = 2;
 
 /** Sends each request to the local backend server or to a peer, and again where that is safe. */
 export class RequestDispatcher {
@@ -104,8 +108,11 @@
         if (context.signal.aborted || body.kind === "streamed" || !this.hasOther(context, tried)) {
             return false;
         }
+        if (failure.result.name === "backend-connection-lost" && tried.size >= MAXIMUM_BACKENDS_LOST) {
+            return false;
+        }
         const isSafe = failure.execution === "not-run" || context.matched.route.idempotent;
-        return isSafe && isWorthSendingAgain(failure) && context.retryBudget.trySpend();
+        return isSafe && isWorthSendingAgain(failure) && (isFree(failure, tried) || context.retryBudget.trySpend());
     }
 
     private hasOther(context: RequestContext, tried: ReadonlySet<string>): boolean {
@@ -120,6 +127,12 @@
     }
 }
 
+/** Whether a send reached no backend server, so that another one adds no work; bounded by the hosts that are tried. */
+function isFree(failure: RequestError, tried: ReadonlySet<string>): boolean {
+    const reachedNone = failure.result.name === "no-backend-server" || failure.result.name === "node-stopping";
+    return reachedNone && failure.execution === "not-run" && tried.size <= MAXIMUM_FREE_HOSTS;
+}
+
 function isWorthSendingAgain(failure: RequestError): boolean {
     switch (failure.result.name) {
         case "overloaded":
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -1,14 +1,18 @@
 /**
  * All scenarios of the bench.
  */
+import { crashingRequest } from "./crashing-request.js";
 import { fleetRateScenario } from "./fleet-rate.js";
 import { rolling } from "./rolling.js";
 import type { Scenario } from "./scenario.js";
+import { silent } from "./silent.js";
 import { transportScenario } from "./transport/transport-scenario.js";
 
 /** Scenarios by the order in which they are listed. */
 export const scenarios: readonly Scenario[] = [
     fleetRateScenario,
     rolling,
+    crashingRequest,
+    silent,
     transportScenario,
 ];
--- /dev/null
+++ b/packages/testbed/src/bench/silent.ts
@@ -0,0 +1,51 @@
+/**
+ * Lets all open connections between nodes, and then those to backend servers, go silent while requests flow.
+ */
+import { setTimeout as sleep } from "node:timers/promises";
+import { ports } from "../fleet/addresses.js";
+import { ENTRY, FaultFleet } from "../fleet/fault-fleet.js";
+import type { Measures, Scenario } from "./scenario.js";
+
+const SERVERS = 3;
+const ROUNDS = 3;
+const ROUND_MS = 5_000;
+const DEADLINE_MS = 20_000;
+
+async function run(): Promise<Measures> {
+    const faults = await FaultFleet.create({ servers: SERVERS, deadlineMs: DEADLINE_MS, behaviour: { serviceMs: 20 } });
+    try {
+        const hosts = [ENTRY, ...faults.servers];
+        const stopTraffic = faults.startTraffic({ hosts, intervalMs: 5, prefix: "silent" });
+        const to = faults.servers.map(server => faults.fleet.proxiedAddressOf(server));
+        for (let round = 0; round < ROUNDS; round++) {
+            for (const port of [ports.forward, ports.backendServer]) {
+                await sleep(ROUND_MS);
+                await faults.fleet.setProxyRules([{ to, ports: [port], fault: "silence" }]);
+            }
+        }
+        await sleep(ROUND_MS);
+        await stopTraffic();
+        const sends = faults.caller.records.filter(send => send.requestId.startsWith("silent"));
+        const reads = sends.filter(({ method }) => method === "GET");
+        const books = sends.filter(({ method }) => method === "POST");
+        const contradictions = await faults.findContradictions();
+        return {
+            sent: sends.length,
+            detected_ms: Math.max(...reads.map(send => send.endMs - send.startMs)),
+            lost_idempotent: reads.filter(({ result }) => result.kind !== "answered").length,
+            doubled_non_idempotent: contradictions.filter(text => text.includes(" ran ")).length,
+            unknown_non_idempotent: books.filter(({ result }) => result.kind !== "answered").length,
+            contradictions: contradictions.length,
+        };
+    }
+    finally {
+        await faults.stop();
+    }
+}
+
+/** Silent connections under load. */
+export const silent: Scenario = {
+    name: "silent",
+    description: "lets open connections go silent; measures how late the slowest read is and what is lost or doubled",
+    run,
+};
--- a/packages/testbed/src/fleet/recording-caller.ts
+++ b/packages/testbed/src/fleet/recording-caller.ts
@@ -38,6 +38,8 @@
     readonly requestId: string;
     readonly idempotencyKey?: string;
     readonly headers?: Record<string, string>;
+    /** Body of a POST; one that names the request when absent. */
+    readonly body?: string;
 }
 
 const RATE_EXCEEDED = 2001;
@@ -98,7 +100,7 @@
                     ...(options.idempotencyKey ? { "idempotency-key": options.idempotencyKey } : {}),
                     ...options.headers,
                 },
-                body: options.method === "POST" ? `booking ${options.requestId}` : undefined,
+                body: options.method === "POST" ? options.body ?? `booking ${options.requestId}` : undefined,
             });
             const body = parseBody(await answer.body.text());
             if (String(answer.headers["content-type"]).startsWith("application/problem")) {
