Act on nothing that was believed before a pause

Cause: a node that was stopped and woke gave requests that arrived meanwhile their whole deadline and ran them; a process that was replaced during its pause went on authorising keys of its seat. ManualClock.pause ran timers at times before the end of the pause, so that a fake clock went back and hid this in a test. Change: PauseWatch shortens deadlines by the pause; deadlines are compared before the first byte is sent and before an onward call; SeatAuthority asks again after a pause; ManualClock never goes back. Shown failing first: with PauseWatch answering 0 the test of pauses failed; with a pause limit of 1000 s in SeatAuthority the test of a replaced process failed.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -16,6 +16,7 @@
 export * from "./process/membership-view.js";
 export * from "./process/operator-interface.js";
 export * from "./process/outcome-ledger.js";
+export * from "./process/pause-watch.js";
 export * from "./process/quarantine.js";
 export * from "./process/rate-limiter.js";
 export * from "./process/rate-share/index.js";
--- a/packages/core/src/process/clock.ts
+++ b/packages/core/src/process/clock.ts
@@ -72,7 +72,7 @@
     advance(durationMs: number): void {
         const endMs = this.currentMs + durationMs;
         for (let timer = this.nextDue(endMs); timer; timer = this.nextDue(endMs)) {
-            this.currentMs = timer.dueMs;
+            this.currentMs = Math.max(this.currentMs, timer.dueMs);
             this.timers = this.timers.filter(other => other !== timer);
             timer.callback();
         }
--- a/packages/core/src/process/seat-authority.ts
+++ b/packages/core/src/process/seat-authority.ts
@@ -44,6 +44,8 @@
 
 const WITNESSES_PER_SIDE = 4;
 const ASK_INTERVAL_MS = 250;
+/** Time between two ticks that counts as a pause of the process. */
+const PAUSE_MS = 1_000;
 const ANNOUNCE_INTERVAL_MS = 30_000;
 /** Time that missing witnesses get before the answers of the others count. */
 const ANSWER_WAIT_MS = 1_000;
@@ -56,10 +58,12 @@
     private earlierUntilMs = 0;
     private askedAtMs: number | undefined;
     private lastAnnouncedMs = -Infinity;
+    private lastTickMs: number;
     private readonly timer: Timer;
     private readonly unsubscribe: () => void;
 
     private constructor(private readonly options: SeatAuthorityOptions) {
+        this.lastTickMs = options.clock.nowMs();
         this.unsubscribe = options.transport.subscribe(received => this.receive(received));
         this.timer = setRepeatingTimer(options.clock, ASK_INTERVAL_MS, () => this.tick());
     }
@@ -70,6 +74,7 @@
 
     /** Whether this process may act for the seat now. */
     get state(): SeatState {
+        this.checkAfterPause();
         if (this.current.kind === "waiting" && this.current.untilMs <= this.options.clock.nowMs()) {
             this.current = { kind: "authorised" };
         }
@@ -93,7 +98,18 @@
         this.unsubscribe();
     }
 
+    /** A process that woke late may have been replaced. */
+    private checkAfterPause(): void {
+        const nowMs = this.options.clock.nowMs();
+        const gapMs = nowMs - this.lastTickMs;
+        this.lastTickMs = nowMs;
+        if (gapMs > PAUSE_MS) {
+            this.checkAgain();
+        }
+    }
+
     private tick(): void {
+        this.checkAfterPause();
         const nowMs = this.options.clock.nowMs();
         if (this.state.kind === "asking") {
             this.askedAtMs ??= nowMs;
--- a/packages/daemon/src/connection/backend-listener.ts
+++ b/packages/daemon/src/connection/backend-listener.ts
@@ -12,7 +12,7 @@
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
 import type { RequestContext } from "../request/request-context.js";
-import { readDeadlineMs } from "../request/request-deadline.js";
+import { readDeadlineMs, requireTimeLeft } from "../request/request-deadline.js";
 import { createOnwardHeaders } from "../request/request-headers.js";
 import { RequestLifetime } from "../request/request-lifetime.js";
 import { hasBody } from "./caller-listener.js";
@@ -61,7 +61,7 @@
         throw RequestError.create("route-unknown");
     }
     const allowedMs = readDeadlineMs(request.headers[DEADLINE_HEADER], matched.route.deadlineMs);
-    const remainingMs = Math.min(allowedMs, parent.deadlineMs - parts.clock.nowMs());
+    const remainingMs = requireTimeLeft(Math.min(allowedMs, parent.deadlineMs - parts.clock.nowMs()), 0);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const cancel = () => lifetime.abort(parent.signal.reason as RequestError);
     parent.signal.addEventListener("abort", cancel, { once: true });
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -9,6 +9,7 @@
     MatchedRoute,
     OpenEntry,
     OutcomeLedger,
+    PauseWatch,
     RateLimiter,
 } from "@radishrouter/core";
 import createDebug from "debug";
@@ -21,7 +22,7 @@
 import { DEADLINE_HEADER, ISSUED_KEYS_TARGET } from "../request/header-names.js";
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
-import { readDeadlineMs } from "../request/request-deadline.js";
+import { readDeadlineMs, requireTimeLeft } from "../request/request-deadline.js";
 import { checkRequestHead, readKey } from "../request/request-head.js";
 import { createOnwardHeaders } from "../request/request-headers.js";
 import { RequestLifetime } from "../request/request-lifetime.js";
@@ -40,6 +41,7 @@
     readonly version: () => ConfigurationVersion | undefined;
     /** Planned stop of the node; what callers send on open connections is served until these are closed. */
     readonly drain: DrainState;
+    readonly pauses: PauseWatch;
 }
 
 interface Admission {
@@ -85,6 +87,7 @@
     if (request.url === ISSUED_KEYS_TARGET) {
         return issueIdempotencyKey(parts, request, response);
     }
+    const waitedMs = parts.pauses.waitedMs();
     const entry = parts.ledger.offer();
     let closeRequest: (() => void) | undefined;
     try {
@@ -92,7 +95,7 @@
         entry.assign(admission.identity?.organisation ?? OPEN_ORGANISATION);
         closeRequest = guard.openRequest(admission.identity?.keyId ?? request.socket.remoteAddress ?? "");
         await acquireRate(parts, admission, entry);
-        await run(parts, request, response, { ...admission, guard }, entry);
+        await run(parts, request, response, { ...admission, guard, waitedMs }, entry);
     }
     catch (error) {
         const failure = toRequestError(error);
@@ -173,11 +176,12 @@
     parts: CallerListenerParts,
     request: IncomingMessage,
     response: ServerResponse,
-    admission: Admission & { readonly guard: CallerGuard; },
+    admission: Admission & { readonly guard: CallerGuard; readonly waitedMs: number; },
     entry: OpenEntry,
 ): Promise<void> {
-    const { matched, key } = admission;
-    const remainingMs = readDeadlineMs(request.headers[DEADLINE_HEADER], matched.route.deadlineMs);
+    const { matched, key, waitedMs } = admission;
+    const allowedMs = readDeadlineMs(request.headers[DEADLINE_HEADER], matched.route.deadlineMs);
+    const remainingMs = requireTimeLeft(allowedMs, waitedMs);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const endOpen = openRequest(parts, admission, lifetime);
     try {
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -2,7 +2,7 @@
  * Requests that other nodes forward to the backend server of this host.
  */
 import { RequestError, RetryBudget, setRepeatingTimer } from "@radishrouter/core";
-import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
+import type { Clock, ConfigurationVersion, LocalLoad, PauseWatch } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
@@ -17,6 +17,7 @@
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
 import type { RequestContext } from "../request/request-context.js";
+import { requireTimeLeft } from "../request/request-deadline.js";
 import { createOnwardHeaders } from "../request/request-headers.js";
 import { RequestLifetime } from "../request/request-lifetime.js";
 import { hasBody } from "./caller-listener.js";
@@ -33,6 +34,7 @@
     readonly load: () => LocalLoad;
     readonly version: () => ConfigurationVersion | undefined;
     readonly drain: DrainState;
+    readonly pauses: PauseWatch;
 }
 
 /** Creates the server for requests that other nodes forward. */
@@ -54,9 +56,10 @@
     parts: ForwardListenerParts,
     request: IncomingMessage,
     response: ServerResponse,
-    forwarded: ForwardedRequest,
+    sent: ForwardedRequest,
 ): Promise<void> {
-    const { remainingMs } = forwarded;
+    const remainingMs = requireTimeLeft(sent.remainingMs, parts.pauses.waitedMs());
+    const forwarded = { ...sent, remainingMs };
     const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const progress = setRepeatingTimer(parts.clock, PROGRESS_INTERVAL_MS, () => showProgress(response));
--- a/packages/daemon/src/process/backend-runner.ts
+++ b/packages/daemon/src/process/backend-runner.ts
@@ -9,6 +9,7 @@
 import { bodyContent } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
+import { requireTimeLeft } from "../request/request-deadline.js";
 import { createReturnHeaders } from "../request/request-headers.js";
 import type { BackendSilence } from "./backend-silence.js";
 import type { CrashWatch, WatchedRun } from "./crash-watch.js";
@@ -100,6 +101,7 @@
     ): Promise<Dispatcher.ResponseData> {
         const { connections, silence } = this.parts;
         const { route, serviceName } = context.matched;
+        requireTimeLeft(context.deadlineMs, this.parts.clock.nowMs());
         const silent = new AbortController();
         const waiting = silence.start(`${serviceName} ${route.method} ${route.path}`, () => {
             if (route.idempotent) {
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -7,6 +7,7 @@
     IdempotencyTable,
     LoadBalancer,
     OutcomeLedger,
+    PauseWatch,
     Quarantine,
     SeatAuthority,
     SeatDirectory,
@@ -70,6 +71,7 @@
     readonly dispatcher: KeyedDispatcher;
     readonly seats: SeatDirectory;
     readonly drain: DrainState;
+    readonly pauses: PauseWatch;
     readonly authority: SeatAuthority;
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
@@ -129,6 +131,7 @@
 
     private async closeParts(): Promise<void> {
         this.parts.authority.close();
+        this.parts.pauses.close();
         this.controlServer?.close();
         await this.parts.fleetState.stop();
         await this.metricsSender?.close();
@@ -275,6 +278,7 @@
         channels,
         seats,
         drain,
+        pauses: PauseWatch.create(clock),
         authority,
         forwarder,
         dispatcher,
--- a/packages/daemon/src/request/request-deadline.ts
+++ b/packages/daemon/src/request/request-deadline.ts
@@ -20,3 +20,15 @@
     }
     return Math.min(routeDeadlineMs, Number(header));
 }
+
+/**
+ * Milliseconds that are left of a request that may have waited unread while the process was paused.
+ *
+ * @throws RequestError when none are left; the request was not run.
+ */
+export function requireTimeLeft(remainingMs: number, waitedMs: number): number {
+    if (remainingMs <= waitedMs) {
+        throw RequestError.create("deadline-too-near", { detail: "The deadline passed before the request was read." });
+    }
+    return remainingMs - waitedMs;
+}
