Count no error of a destroyed pool as a request that was not sent

Cause: undici ends requests that run on a destroyed pool with UND_ERR_DESTROYED, which counted as not run. Result: 27 of 27 tests pass (`node scripts/run-tests.mjs at-most whole- silent- graceful crashing pauses`).

--- a/packages/daemon/src/process/http-pools.ts
+++ b/packages/daemon/src/process/http-pools.ts
@@ -30,7 +30,7 @@
     });
 }
 
-const beforeSendCodes = new Set(["UND_ERR_CONNECT_TIMEOUT", "UND_ERR_CLOSED", "UND_ERR_DESTROYED"]);
+const beforeSendCodes = new Set(["UND_ERR_CONNECT_TIMEOUT", "UND_ERR_CLOSED"]);
 
 function hasCode(error: unknown): error is Error & { code: string; syscall?: string; } {
     return error instanceof Error && "code" in error && typeof error.code === "string";
