Ask again about a seat only after a pause that a replacement could have used

Cause: a stall of one second, as a busy host causes, made a node ask its witnesses again, and cut off it lost its keys. Change: 10 s, and never more than half the retention that a replacement waits. Result: tests of seat-authority and at-most-once pass.

--- a/packages/core/src/process/seat-authority.ts
+++ b/packages/core/src/process/seat-authority.ts
@@ -44,8 +44,8 @@
 
 const WITNESSES_PER_SIDE = 4;
 const ASK_INTERVAL_MS = 250;
-/** Time between two ticks that counts as a pause of the process. */
-const PAUSE_MS = 1_000;
+/** Time between two ticks that counts as a pause; has to be shorter than the time that a replacement waits. */
+const PAUSE_MS = 10_000;
 const ANNOUNCE_INTERVAL_MS = 30_000;
 /** Time that missing witnesses get before the answers of the others count. */
 const ANSWER_WAIT_MS = 1_000;
@@ -103,7 +103,7 @@
         const nowMs = this.options.clock.nowMs();
         const gapMs = nowMs - this.lastTickMs;
         this.lastTickMs = nowMs;
-        if (gapMs > PAUSE_MS) {
+        if (gapMs > Math.min(PAUSE_MS, this.options.retentionMs / 2)) {
             this.checkAgain();
         }
     }
