Hold back keys that a change of the number of seats moves

Cause: a changed number of seats gives a key another owner, which does not know what the earlier one authorised. Change: each owner remembers earlier layouts for the retention and does not authorise keys that have moved; a seat that was added waits as its witnesses tell it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./process/rendezvous-hash.js";
 export * from "./process/seat-authority.js";
 export * from "./process/seat-directory.js";
+export * from "./process/seat-layouts.js";
 export * from "./process/startup-gate.js";
 export * from "./process/token-bucket.js";
 export * from "./process/watch-plan.js";
--- a/packages/core/src/process/seat-authority.ts
+++ b/packages/core/src/process/seat-authority.ts
@@ -22,6 +22,8 @@
     readonly incarnation: bigint;
     /** Milliseconds for which what a process of the seat authorised has to be remembered. */
     readonly retentionMs: number;
+    /** Milliseconds for which keys of a seat may be remembered by seats that owned them before it was added. */
+    readonly addedRemainingMs: (failureDomain: string, seat: number) => number;
     /** Other live hosts; undefined until the platform's list is known. */
     readonly livePeers: () => readonly Host[] | undefined;
 }
@@ -172,6 +174,7 @@
             entry = { incarnation, earlierUntilMs: nowMs + this.options.retentionMs };
         }
         this.known.set(name, entry);
+        const addedMs = this.options.addedRemainingMs(notice.failureDomain, notice.seat);
         this.options.transport.send(sender, {
             case: "incarnationAnswer",
             value: {
@@ -179,7 +182,7 @@
                 failureDomain: notice.failureDomain,
                 seat: notice.seat,
                 incarnation,
-                earlierRemainingMs: Math.max(0, Math.ceil(entry.earlierUntilMs - nowMs)),
+                earlierRemainingMs: Math.max(0, Math.ceil(entry.earlierUntilMs - nowMs), Math.ceil(addedMs)),
                 superseded,
             },
         });
--- a/packages/daemon/src/process/keyed-dispatcher.ts
+++ b/packages/daemon/src/process/keyed-dispatcher.ts
@@ -6,15 +6,15 @@
  */
 import type {
     Clock,
-    Configuration,
     Host,
     IdempotencyTable,
     KeyAttempt,
     KeyOwner,
     SeatAuthority,
     SeatDirectory,
+    SeatLayouts,
 } from "@radishrouter/core";
-import { createIssuedKey, findKeyOwner, isIdempotencyKey, RequestError } from "@radishrouter/core";
+import { createIssuedKey, isIdempotencyKey, RequestError } from "@radishrouter/core";
 import { createHash } from "node:crypto";
 import { Readable } from "node:stream";
 import { IDEMPOTENCY_KEY_HEADER, REPLAYED_HEADER } from "../request/header-names.js";
@@ -34,7 +34,7 @@
     readonly authority: Pick<SeatAuthority, "state">;
     readonly seats: SeatDirectory;
     readonly findHost: (name: string) => Host | undefined;
-    readonly failureDomains: () => Configuration["failureDomains"];
+    readonly layouts: SeatLayouts;
     /** Who this process is. */
     readonly identity: {
         readonly host: string;
@@ -77,7 +77,7 @@
         if (key === undefined) {
             return this.parts.dispatcher.dispatch(context, body);
         }
-        const owner = findKeyOwner(key, this.parts.failureDomains());
+        const owner = this.parts.layouts.findOwner(key);
         if (owner && this.isOwn(owner)) {
             return this.dispatchOwned(context, body);
         }
@@ -201,7 +201,7 @@
      */
     private requireAuthority(key: string): void {
         const { identity, authority, clock } = this.parts;
-        const owner = findKeyOwner(key, this.parts.failureDomains());
+        const owner = this.parts.layouts.findOwner(key);
         if (!owner || !this.isOwn(owner)) {
             throw createOwnerUnreachable("This node does not own the key in its configuration.");
         }
@@ -214,6 +214,13 @@
             }
             return;
         }
+        const movedMs = this.parts.layouts.movedRemainingMs(key);
+        if (movedMs > 0) {
+            throw createOwnerUnreachable(
+                "The number of seats changed; another seat may have run its request.",
+                movedMs,
+            );
+        }
         const state = authority.state;
         switch (state.kind) {
             case "authorised":
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -11,6 +11,7 @@
     Quarantine,
     SeatAuthority,
     SeatDirectory,
+    SeatLayouts,
     SystemClock,
 } from "@radishrouter/core";
 import type {
@@ -241,7 +242,10 @@
         hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit,
     });
     const { failureDomain, seat, limits } = settings;
+    const layouts = SeatLayouts.create(clock, { retentionMs: settings.limits.idempotencyKeyMs });
+    store.events.on("inForce", ({ configuration }) => layouts.setFailureDomains(configuration.failureDomains));
     const authority = SeatAuthority.create({
+        addedRemainingMs: (name, number) => layouts.addedRemainingMs(name, number),
         clock,
         transport: channels,
         failureDomain,
@@ -262,7 +266,7 @@
             maximumAnswerBytes: limits.idempotencyAnswerBytes,
         }),
         findHost: name => membership.find(name),
-        failureDomains: () => store.current?.configuration.failureDomains ?? {},
+        layouts,
         identity: { host: settings.host, incarnation, failureDomain, seat },
         issuedKeyMs: limits.idempotencyKeyMs,
     });
