--- a/packages/core/src/process/seat-authority.ts
+++ b/packages/core/src/process/seat-authority.ts
@@ -22,6 +22,8 @@
     readonly incarnation: bigint;
     /** Milliseconds for which what a process of the seat authorised has to be remembered. */
     readonly retentionMs: number;
+    /** Milliseconds for which keys of a seat may be remembered by seats that owned them before it was added. */
+    readonly addedRemainingMs: (failureDomain: string, seat: number) => number;
     /** Other live hosts; undefined until the platform's list is known. */
     readonly livePeers: () => readonly Host[] | undefined;
 }
@@ -44,6 +46,8 @@
 
 const WITNESSES_PER_SIDE = 4;
 const ASK_INTERVAL_MS = 250;
+/** Time between two ticks that counts as a pause; has to be shorter than the time that a replacement waits. */
+const PAUSE_MS = 10_000;
 const ANNOUNCE_INTERVAL_MS = 30_000;
 /** Time that missing witnesses get before the answers of the others count. */
 const ANSWER_WAIT_MS = 1_000;
@@ -56,10 +60,12 @@
     private earlierUntilMs = 0;
     private askedAtMs: number | undefined;
     private lastAnnouncedMs = -Infinity;
+    private lastTickMs: number;
     private readonly timer: Timer;
     private readonly unsubscribe: () => void;
 
     private constructor(private readonly options: SeatAuthorityOptions) {
+        this.lastTickMs = options.clock.nowMs();
         this.unsubscribe = options.transport.subscribe(received => this.receive(received));
         this.timer = setRepeatingTimer(options.clock, ASK_INTERVAL_MS, () => this.tick());
     }
@@ -70,6 +76,7 @@
 
     /** Whether this process may act for the seat now. */
     get state(): SeatState {
+        this.checkAfterPause();
         if (this.current.kind === "waiting" && this.current.untilMs <= this.options.clock.nowMs()) {
             this.current = { kind: "authorised" };
         }
@@ -93,7 +100,18 @@
         this.unsubscribe();
     }
 
+    /** A process that woke late may have been replaced. */
+    private checkAfterPause(): void {
+        const nowMs = this.options.clock.nowMs();
+        const gapMs = nowMs - this.lastTickMs;
+        this.lastTickMs = nowMs;
+        if (gapMs > Math.min(PAUSE_MS, this.options.retentionMs / 2)) {
+            this.checkAgain();
+        }
+    }
+
     private tick(): void {
+        this.checkAfterPause();
         const nowMs = this.options.clock.nowMs();
         if (this.state.kind === "asking") {
             this.askedAtMs ??= nowMs;
@@ -156,6 +174,7 @@
             entry = { incarnation, earlierUntilMs: nowMs + this.options.retentionMs };
         }
         this.known.set(name, entry);
+        const addedMs = this.options.addedRemainingMs(notice.failureDomain, notice.seat);
         this.options.transport.send(sender, {
             case: "incarnationAnswer",
             value: {
@@ -163,7 +182,7 @@
                 failureDomain: notice.failureDomain,
                 seat: notice.seat,
                 incarnation,
-                earlierRemainingMs: Math.max(0, Math.ceil(entry.earlierUntilMs - nowMs)),
+                earlierRemainingMs: Math.max(0, Math.ceil(entry.earlierUntilMs - nowMs), Math.ceil(addedMs)),
                 superseded,
             },
         });
--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -11,10 +11,12 @@
     MatchedRoute,
     OpenEntry,
     OutcomeLedger,
+    PauseWatch,
     RateLimiter,
 } from "@radishrouter/core";
 import createDebug from "debug";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { DrainState } from "../process/drain-state.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { OpenRequests } from "../process/open-requests.js";
 import type { Settings } from "../process/settings.js";
@@ -23,7 +25,7 @@
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
 import { routeNameOf } from "../request/request-context.js";
-import { readDeadlineMs } from "../request/request-deadline.js";
+import { readDeadlineMs, requireTimeLeft } from "../request/request-deadline.js";
 import { checkRequestHead, readKey } from "../request/request-head.js";
 import { createOnwardHeaders } from "../request/request-headers.js";
 import { RequestLifetime } from "../request/request-lifetime.js";
@@ -42,8 +44,9 @@
     readonly entryAdmission: EntryAdmission | undefined;
     /** Configuration in force; undefined until the first one has arrived. */
     readonly version: () => ConfigurationVersion | undefined;
-    /** Whether the node is shutting down. */
-    readonly isStopping: () => boolean;
+    /** Planned stop of the node; what callers send on open connections is served until these are closed. */
+    readonly drain: DrainState;
+    readonly pauses: PauseWatch;
 }
 
 interface Admission {
@@ -89,9 +92,13 @@
     request: IncomingMessage,
     response: ServerResponse,
 ): Promise<void> {
+    if (parts.drain.stage !== "running") {
+        response.setHeader("connection", "close");
+    }
     if (request.url === ISSUED_KEYS_TARGET) {
         return issueIdempotencyKey(parts, request, response);
     }
+    const waitedMs = parts.pauses.waitedMs();
     const entry = parts.ledger.offer();
     let closeRequest: (() => void) | undefined;
     try {
@@ -99,7 +106,8 @@
         entry.assign(admission.identity?.organisation ?? OPEN_ORGANISATION);
         closeRequest = guard.openRequest(admission.identity?.keyId ?? request.socket.remoteAddress ?? "");
         await acquireRate(parts, admission, entry);
-        const remainingMs = readDeadlineMs(request.headers[DEADLINE_HEADER], admission.matched.route.deadlineMs);
+        const allowedMs = readDeadlineMs(request.headers[DEADLINE_HEADER], admission.matched.route.deadlineMs);
+        const remainingMs = requireTimeLeft(allowedMs, waitedMs);
         const ticket = admitToChain(parts, admission);
         await run(parts, request, response, { ...admission, guard, remainingMs, ticket }, entry);
     }
@@ -136,9 +144,6 @@
 
 function admit(parts: CallerListenerParts, request: IncomingMessage): Admission {
     const version = parts.version();
-    if (parts.isStopping()) {
-        throw RequestError.create("node-stopping");
-    }
     if (!version) {
         throw RequestError.create("configuration-missing");
     }
--- a/packages/daemon/src/connection/forward-listener.ts
+++ b/packages/daemon/src/connection/forward-listener.ts
@@ -2,10 +2,11 @@
  * Requests that other nodes forward to the backend server of this host.
  */
 import { ChainPressure, formatAdmissionLevel, RequestError, RetryBudget, setRepeatingTimer } from "@radishrouter/core";
-import type { Clock, ConfigurationVersion, LocalLoad } from "@radishrouter/core";
+import type { Clock, ConfigurationVersion, LocalLoad, PauseWatch } from "@radishrouter/core";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { BackendRunner } from "../process/backend-runner.js";
 import type { DeploymentProof } from "../process/deployment-proof.js";
+import type { DrainState } from "../process/drain-state.js";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
 import type { Settings } from "../process/settings.js";
 import { PROGRESS_INTERVAL_MS } from "../process/silence-watch.js";
@@ -16,6 +17,7 @@
 import { sendProblem, toRequestError } from "../request/problem-document.js";
 import { readRequestBody } from "../request/request-body.js";
 import type { RequestContext } from "../request/request-context.js";
+import { requireTimeLeft } from "../request/request-deadline.js";
 import { createOnwardHeaders } from "../request/request-headers.js";
 import { RequestLifetime } from "../request/request-lifetime.js";
 import { hasBody } from "./caller-listener.js";
@@ -31,7 +33,8 @@
     readonly dispatcher: KeyedDispatcher;
     readonly load: () => LocalLoad;
     readonly version: () => ConfigurationVersion | undefined;
-    readonly isStopping: () => boolean;
+    readonly drain: DrainState;
+    readonly pauses: PauseWatch;
 }
 
 /** Creates the server for requests that other nodes forward. */
@@ -53,9 +56,10 @@
     parts: ForwardListenerParts,
     request: IncomingMessage,
     response: ServerResponse,
-    forwarded: ForwardedRequest,
+    sent: ForwardedRequest,
 ): Promise<void> {
-    const { remainingMs } = forwarded;
+    const remainingMs = requireTimeLeft(sent.remainingMs, parts.pauses.waitedMs());
+    const forwarded = { ...sent, remainingMs };
     const retryBudget = RetryBudget.create(forwarded.retries);
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const progress = setRepeatingTimer(parts.clock, PROGRESS_INTERVAL_MS, () => showProgress(response));
@@ -68,6 +72,7 @@
         [answerHeaders.load]: JSON.stringify(parts.load()),
         [answerHeaders.callsBelow]: String(chainPressure.callsBelow),
         ...describePressure(chainPressure),
+        ...(parts.drain.stage === "running" ? {} : { [answerHeaders.draining]: "1", connection: "close" }),
     });
     try {
         const context = createContext(parts, request, forwarded, {
@@ -78,7 +83,7 @@
         const isKeyOwner = request.headers[forwardHeaders.keyOwner] !== undefined;
         const body = await readRequestBody(request, {
             hasBody: hasBody(request),
-            replayBytes: isKeyOwner ? parts.limits.replayBytes : 0,
+            replayBytes: parts.limits.replayBytes,
             maximumBytes: parts.limits.bodyBytes,
         });
         const answer = isKeyOwner ?
@@ -129,7 +134,7 @@
     shared: Pick<RequestContext, "retryBudget" | "chainPressure" | "signal">,
 ): RequestContext {
     const version = parts.version();
-    if (parts.isStopping()) {
+    if (parts.drain.stage === "stopping") {
         throw RequestError.create("node-stopping");
     }
     if (!version) {
--- a/packages/daemon/src/process/backend-runner.ts
+++ b/packages/daemon/src/process/backend-runner.ts
@@ -6,12 +6,15 @@
 import type { Dispatcher } from "undici";
 import { HANDLE_HEADER } from "../request/header-names.js";
 import { OnwardTime } from "../request/onward-time.js";
+import { toRequestError } from "../request/problem-document.js";
 import { bodyContent } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
 import { routeNameOf } from "../request/request-context.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
+import { requireTimeLeft } from "../request/request-deadline.js";
 import { createReturnHeaders } from "../request/request-headers.js";
 import type { BackendSilence } from "./backend-silence.js";
+import type { CrashWatch, WatchedRun } from "./crash-watch.js";
 import type { HandleTable } from "./handle-table.js";
 import { createConnectionError } from "./http-pools.js";
 import type { ServerConnections } from "./server-connections.js";
@@ -26,6 +29,7 @@
     readonly silence: BackendSilence;
     readonly balancer: LoadBalancer;
     readonly ownName: string;
+    readonly crashes: CrashWatch;
 }
 
 /** Sends requests to the local backend server within its concurrency limit. */
@@ -43,6 +47,23 @@
      */
     async run(context: RequestContext, body: RequestBody): Promise<Answer> {
         this.refuseIfUnresponsive(context);
+        const watched = await this.parts.crashes.admit(context, body);
+        try {
+            return await this.runAdmitted(context, body, watched);
+        }
+        catch (error) {
+            const failure = toRequestError(error);
+            if (failure.result.name === "backend-connection-lost") {
+                await watched.lost();
+            }
+            else {
+                watched.ended();
+            }
+            throw failure;
+        }
+    }
+
+    private async runAdmitted(context: RequestContext, body: RequestBody, watched: WatchedRun): Promise<Answer> {
         const permit = await this.acquire(context);
         const open = this.parts.balancer.start(this.parts.ownName);
         const onwardTime = OnwardTime.create(this.parts.clock, open);
@@ -53,7 +74,9 @@
             open.end(outcome === "completed" ? { kind: "answered" } : { kind: "abandoned" });
         };
         try {
-            return await this.send(context, body, handle, permit, end);
+            const answer = await this.send(context, body, handle, permit, end);
+            answer.body.once("close", () => answer.body.errored ? void watched.lost() : watched.completed());
+            return answer;
         }
         catch (error) {
             const failure = this.classify(context, error);
@@ -114,6 +137,7 @@
     ): Promise<Dispatcher.ResponseData> {
         const { connections, silence } = this.parts;
         const { route, serviceName } = context.matched;
+        requireTimeLeft(context.deadlineMs, this.parts.clock.nowMs());
         const silent = new AbortController();
         const waiting = silence.start(`${serviceName} ${route.method} ${route.path}`, () => {
             if (route.idempotent) {
--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -8,8 +8,11 @@
     IdempotencyTable,
     LoadBalancer,
     OutcomeLedger,
+    PauseWatch,
+    Quarantine,
     SeatAuthority,
     SeatDirectory,
+    SeatLayouts,
     SystemClock,
 } from "@radishrouter/core";
 import type {
@@ -31,7 +34,9 @@
 import type { ConfigurationStore } from "../version/configuration-store.js";
 import { BackendRunner } from "./backend-runner.js";
 import { BackendSilence } from "./backend-silence.js";
+import { CrashWatch } from "./crash-watch.js";
 import { DeploymentProof } from "./deployment-proof.js";
+import { DrainState } from "./drain-state.js";
 import { FleetState } from "./fleet-state.js";
 import { HandleTable } from "./handle-table.js";
 import { KeyedDispatcher } from "./keyed-dispatcher.js";
@@ -52,6 +57,11 @@
 const CONNECTIONS_WITHOUT_CONFIGURATION = 1;
 const WEIGHT_WITHOUT_RATE = 1;
 
+/** Time for which a node that is to stop takes new work while it tells senders to go elsewhere. */
+const DRAIN_MS = 1_500;
+
+const QUARANTINE_OPTIONS = { expiryMs: 600_000, maximumEntries: 4_096 };
+
 /** The coordination parts of a node, which live as long as its process. */
 interface NodeParts {
     readonly clock: Clock;
@@ -68,6 +78,8 @@
     readonly forwarder: PeerForwarder;
     readonly dispatcher: KeyedDispatcher;
     readonly seats: SeatDirectory;
+    readonly drain: DrainState;
+    readonly pauses: PauseWatch;
     readonly authority: SeatAuthority;
     readonly runner: BackendRunner;
     readonly handles: HandleTable;
@@ -80,7 +92,6 @@
     private readonly startedAt = new Date();
     private readonly servers: Server[] = [];
     private controlServer: Http2Server | undefined;
-    private stopping = false;
     private metricsSender: MetricsSender | undefined;
 
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
@@ -104,20 +115,31 @@
         this.metricsSender = MetricsSender.create(this.parts.clock, this.settings, this.metricsSources());
     }
 
-    /** Refuses new work, lets running requests end, and closes everything. */
+    /**
+     * Stops without cutting a request: tells senders to go elsewhere, then refuses new work, lets running requests and
+     * their onward calls end, and closes everything. What still runs after `limits.shutdownMs` is aborted.
+     */
     async stop(): Promise<void> {
-        this.stopping = true;
-        this.parts.audit.record("process-stopping", this.settings.host, "stop requested");
+        const { drain, membership, audit } = this.parts;
+        const { shutdownMs } = this.settings.limits;
+        audit.record("process-stopping", this.settings.host, "stop requested");
+        const limit = setTimeout(() => this.servers.forEach(server => server.closeAllConnections()), shutdownMs);
+        drain.drain();
+        membership.markLeaving(this.settings.host, "drain signal");
+        await new Promise(resolve => setTimeout(resolve, Math.min(DRAIN_MS, shutdownMs)));
+        drain.refuse();
         this.parts.rateLimiter.close();
         const flushed = new Promise(resolve => setTimeout(resolve, CONTROL_FLUSH_MS));
-        const closed = Promise.all([flushed, ...this.servers.map(closeGracefully)]);
-        const limit = setTimeout(
-            () => this.servers.forEach(server => server.closeAllConnections()),
-            this.settings.limits.shutdownMs,
-        );
-        await closed;
+        const [forward, backend, operators, callers] = this.servers;
+        await Promise.all([flushed, ...[callers, forward].map(server => server && closeGracefully(server))]);
+        await Promise.all([backend, operators].map(server => server && closeGracefully(server)));
         clearTimeout(limit);
+        await this.closeParts();
+    }
+
+    private async closeParts(): Promise<void> {
         this.parts.authority.close();
+        this.parts.pauses.close();
         this.controlServer?.close();
         await this.parts.fleetState.stop();
         await this.metricsSender?.close();
@@ -132,7 +154,7 @@
             service,
             failureDomain,
             startedAt: this.startedAt.toISOString(),
-            state: this.stopping ? "stopping" : "running",
+            state: this.parts.drain.stage === "running" ? "running" : "stopping",
             configurationVersion: this.parts.store.current?.configuration.version,
             livePeers: this.parts.membership.livePeers().map(peer => peer.name),
             rateReadyInMs: Math.min(Number.MAX_SAFE_INTEGER, this.parts.rateLimiter.readyInMs()),
@@ -152,10 +174,9 @@
 
     private async startListeners(): Promise<void> {
         const { address, loopbackAddress, ports } = this.settings;
-        const isStopping = () => this.stopping;
         const version = () => this.parts.store.current;
         const load = () => this.parts.limiter.load();
-        const shared = { ...this.parts, limits: this.settings.limits, isStopping, version, load };
+        const shared = { ...this.parts, limits: this.settings.limits, version, load };
         this.controlServer = this.parts.channels.createServer();
         this.controlServer.listen(ports.control, address);
         await this.open(createForwardServer({ ...shared, ownService: this.settings.service }), ports.forward, address);
@@ -203,7 +224,13 @@
     const onHostList = (list: HostList) => seats.setPlatformList(list);
     const fleetState = FleetState.create({ clock, audit, proof, settings, incarnation, onHostList });
     const { membership, store, channels } = fleetState;
-    const forwarder = PeerForwarder.create({ clock, proof, ...identity });
+    const drain = DrainState.create();
+    const forwarder = PeerForwarder.create({
+        clock,
+        proof,
+        ...identity,
+        onDraining: host => membership.markLeaving(host, "its answer"),
+    });
     const connections = ServerConnections.create({
         ...settings.backendServer,
         connections: CONNECTIONS_WITHOUT_CONFIGURATION,
@@ -212,6 +239,15 @@
     const silence = BackendSilence.create(clock, () => connections.renew());
     const balancer = LoadBalancer.create(clock, { blind: !inForce("load-balancing") });
     const ownService = settings.service;
+    const crashes = CrashWatch.create({
+        clock,
+        quarantine: Quarantine.create(clock, QUARANTINE_OPTIONS),
+        transport: channels,
+        ownName: settings.host,
+        incarnation,
+        backendServer: settings.backendServer,
+        servicePeers: () => membership.livePeersOf(settings.service),
+    });
     const runner = BackendRunner.create({
         clock,
         ownService,
@@ -219,11 +255,13 @@
         handles,
         connections,
         silence,
+        crashes,
         balancer,
         ...identity,
     });
     const unkeyed = RequestDispatcher.create({
         clock,
+        drain,
         ownName: settings.host,
         ownService,
         location: settings,
@@ -235,7 +273,10 @@
         sharesRetries: inForce("shared-retries"),
     });
     const { failureDomain, seat, limits } = settings;
+    const layouts = SeatLayouts.create(clock, { retentionMs: settings.limits.idempotencyKeyMs });
+    store.events.on("inForce", ({ configuration }) => layouts.setFailureDomains(configuration.failureDomains));
     const authority = SeatAuthority.create({
+        addedRemainingMs: (name, number) => layouts.addedRemainingMs(name, number),
         clock,
         transport: channels,
         failureDomain,
@@ -256,7 +297,7 @@
             maximumAnswerBytes: limits.idempotencyAnswerBytes,
         }),
         findHost: name => membership.find(name),
-        failureDomains: () => store.current?.configuration.failureDomains ?? {},
+        layouts,
         identity: { host: settings.host, incarnation, failureDomain, seat },
         issuedKeyMs: limits.idempotencyKeyMs,
     });
@@ -273,6 +314,8 @@
         entryAdmission: inForce("chain-feedback") ? EntryAdmission.create(clock) : undefined,
         channels,
         seats,
+        drain,
+        pauses: PauseWatch.create(clock),
         authority,
         forwarder,
         dispatcher,
--- a/packages/daemon/src/process/request-dispatcher.ts
+++ b/packages/daemon/src/process/request-dispatcher.ts
@@ -8,6 +8,7 @@
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
 import type { BackendRunner } from "./backend-runner.js";
+import type { DrainState } from "./drain-state.js";
 import type { PeerForwarder } from "./peer-forwarder.js";
 
 /** Parts that a dispatcher works with. */
@@ -20,6 +21,7 @@
     readonly balancer: LoadBalancer;
     readonly runner: BackendRunner;
     readonly forwarder: PeerForwarder;
+    readonly drain: DrainState;
     /** Whether the local backend server takes another request without waiting. */
     readonly hasLocalRoom: () => boolean;
     /** Whether retries are counted over the whole chain; otherwise each hop has the whole budget, as a baseline. */
@@ -33,6 +35,10 @@
 const LOCAL_NAME = "";
 /** Shortest time that an attempt on the local backend server gets. */
 const LOCAL_ATTEMPT_MS = 300;
+/** Hosts that one request may find without a backend server before its retries are used. */
+const MAXIMUM_FREE_HOSTS = 3;
+/** Backend servers that one request may lose; after that it is not sent again, since it may crash them. */
+const MAXIMUM_BACKENDS_LOST = 2;
 
 /** Sends each request to the local backend server or to a peer, and again where that is safe. */
 export class RequestDispatcher {
@@ -69,7 +75,8 @@
             }
             catch (error) {
                 const failure = toRequestError(error);
-                if (!this.maySendAgain(failure, context, body, tried) || !budget.trySpend()) {
+                const mayBeSent = this.maySendAgain(failure, context, body, tried);
+                if (!mayBeSent || !(isFree(failure, tried) || budget.trySpend())) {
                     throw failure;
                 }
                 isRepeat ||= this.parts.sharesRetries && failure.execution === "unknown";
@@ -80,7 +87,7 @@
     private choose(context: RequestContext, tried: ReadonlySet<string>): Target {
         const service = context.matched.serviceName;
         const { balancer, location, ownName } = this.parts;
-        const isLocal = service === this.parts.ownService && !tried.has(LOCAL_NAME);
+        const isLocal = this.mayRunHere(service, tried);
         const isRepeatable = context.matched.route.idempotent;
         const isLocalUsable = isLocal && !balancer.isUnresponsive(ownName);
         if (isLocalUsable && this.parts.hasLocalRoom()) {
@@ -175,6 +182,9 @@
         if (context.signal.aborted || body.kind === "streamed" || !this.hasOther(context, tried)) {
             return false;
         }
+        if (failure.result.name === "backend-connection-lost" && tried.size >= MAXIMUM_BACKENDS_LOST) {
+            return false;
+        }
         const isSafe = failure.execution === "not-run" || context.matched.route.idempotent;
         return isSafe && this.isWorthSendingAgain(failure, context, tried);
     }
@@ -188,7 +198,12 @@
     private hasOther(context: RequestContext, tried: ReadonlySet<string>): boolean {
         const service = context.matched.serviceName;
         return this.parts.membership.livePeersOf(service).some(host => !tried.has(host.name)) ||
-            (service === this.parts.ownService && !tried.has(LOCAL_NAME));
+            this.mayRunHere(service, tried);
+    }
+
+    private mayRunHere(service: string, tried: ReadonlySet<string>): boolean {
+        const { ownService, drain } = this.parts;
+        return service === ownService && drain.stage !== "stopping" && !tried.has(LOCAL_NAME);
     }
 
     private isWorthSendingAgain(
@@ -217,3 +232,9 @@
             .some(host => !tried.has(host.name) && this.parts.balancer.hasRoom(host.name));
     }
 }
+
+/** Whether a send reached no backend server, so that another one adds no work; bounded by the hosts that are tried. */
+function isFree(failure: RequestError, tried: ReadonlySet<string>): boolean {
+    const reachedNone = failure.result.name === "no-backend-server" || failure.result.name === "node-stopping";
+    return reachedNone && failure.execution === "not-run" && tried.size <= MAXIMUM_FREE_HOSTS;
+}
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -46,6 +46,8 @@
     callsBelow: "radishrouter-calls-below",
     /** Tightest admission level that the request met, such as `items=0.42`. */
     admission: "radishrouter-admission",
+    /** Set when the answering node is about to stop and wants no new work. */
+    draining: "radishrouter-draining",
 } as const;
 
 const hopByHopHeaders = new Set([
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -1,15 +1,21 @@
 /**
  * All scenarios of the bench.
  */
+import { crashingRequest } from "./crashing-request.js";
 import { fleetRateScenario } from "./fleet-rate.js";
 import { hangScenario } from "./hang/hang-scenario.js";
 import { overloadScenario } from "./overload/overload-scenario.js";
+import { rolling } from "./rolling.js";
 import type { Scenario } from "./scenario.js";
+import { silent } from "./silent.js";
 import { transportScenario } from "./transport/transport-scenario.js";
 
 /** Scenarios by the order in which they are listed. */
 export const scenarios: readonly Scenario[] = [
     fleetRateScenario,
+    rolling,
+    crashingRequest,
+    silent,
     transportScenario,
     overloadScenario,
     hangScenario,
