Test that no key reaches another node

Cause: the checks of keys looked at backend servers only, behind the peer's own checks.

Change: a stand-in peer records what a node forwards of a request that holds its key in many spellings.

--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -1,8 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import { Code, ConnectError, createClient } from "@connectrpc/connect";
 import { createConnectTransport } from "@connectrpc/connect-node";
+import { HOST_LIST_KEY } from "@radishrouter/core";
 import { ControlBatchSchema, ControlService } from "@radishrouter/protocol";
 import assert from "node:assert/strict";
+import { createServer } from "node:http";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { after, before, describe, test } from "node:test";
@@ -63,6 +65,26 @@
         return JSON.parse(body.slice(body.indexOf("{"))) as { code: number; execution: string; };
     }
 
+    /** Headers that hold the key in many spellings. */
+    function spellKey(): string {
+        const encoded = [...key].map(character => `%${character.charCodeAt(0).toString(16)}`).join("");
+        const spellings: Record<string, string> = {
+            "Authorization": `Bearer ${key}`,
+            "Proxy-Authorization": `Bearer ${key}`,
+            "X-Api-Key": key,
+            "X-Quoted": `token="${key}"`,
+            "X-Lower": key.toLowerCase(),
+            "X-Encoded": encoded,
+            "X-Encoded-Twice": encoded.replaceAll("%", "%25"),
+            "X-Broken-Encoding": `%zz%${encoded}`,
+            "X-Basic": `Basic ${Buffer.from(`user:${key}`).toString("base64")}`,
+            "Cookie": `session=1; key=${key}`,
+            "Referer": `http://a/?key=${key}`,
+            [key]: "1",
+        };
+        return Object.entries(spellings).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+    }
+
     const head = `Host: a\r\nAuthorization: Bearer ${key}\r\n`;
     const read = `GET /catalogue/read/hostile HTTP/1.1\r\n${head}`;
     const book = `POST /catalogue/book/hostile HTTP/1.1\r\n${head}`;
@@ -207,22 +229,7 @@
     });
 
     test("cannot make a key reach a backend server in any spelling", async () => {
-        const encoded = [...key].map(character => `%${character.charCodeAt(0).toString(16)}`).join("");
-        const spellings: Record<string, string> = {
-            "Authorization": `Bearer ${key}`,
-            "Proxy-Authorization": `Bearer ${key}`,
-            "X-Api-Key": key,
-            "X-Quoted": `token="${key}"`,
-            "X-Lower": key.toLowerCase(),
-            "X-Encoded": encoded,
-            "X-Encoded-Twice": encoded.replaceAll("%", "%25"),
-            "X-Broken-Encoding": `%zz%${encoded}`,
-            "X-Basic": `Basic ${Buffer.from(`user:${key}`).toString("base64")}`,
-            "Cookie": `session=1; key=${key}`,
-            "Referer": `http://a/?key=${key}`,
-            [key]: "1",
-        };
-        const lines = Object.entries(spellings).map(([name, value]) => `${name}: ${value}\r\n`).join("");
+        const lines = spellKey();
         const body = `Transfer-Encoding: chunked\r\nTrailer: x-late\r\n\r\n3\r\nabc\r\n0\r\nX-Late: ${key}\r\n\r\n`;
         for (const host of ["catalogue-1", "items-1"]) {
             for (const start of ["POST /catalogue/book/spelled", "POST /items/book/spelled"]) {
@@ -291,6 +298,44 @@
         controller.abort();
     });
 
+    test("cannot make a key reach another node", async () => {
+        const received: string[] = [];
+        const names: string[] = [];
+        const peer = createServer((incoming, response) => {
+            received.push(incoming.url ?? "", ...incoming.rawHeaders);
+            names.push(...Object.keys(incoming.headers));
+            incoming.on("data", chunk => received.push(String(chunk)));
+            incoming.on("end", () => {
+                received.push(...incoming.rawTrailers);
+                response.writeHead(200, { "radishrouter-outcome": "answered", "radishrouter-retries-left": "0" });
+                response.end("{}");
+            });
+        });
+        const peerAddress = fleet.addresses.client;
+        await new Promise<void>(resolve => peer.listen(ports.forward, peerAddress, resolve));
+        const place = { failureDomain: "khomas-a", region: "khomas", callerPort: ports.callers };
+        const listeners = { ...place, forwardPort: ports.forward, controlPort: ports.control, state: "live" };
+        await fleet.publishValue(HOST_LIST_KEY, {
+            revision: 1_000,
+            hosts: [
+                { ...listeners, name: "catalogue-1", service: "catalogue", address },
+                { ...listeners, name: "items-9", service: "items", address: peerAddress },
+            ],
+        });
+        const isUsed = async () => (await fleet.status("catalogue-1")).livePeers.join() === "items-9";
+        await waitFor(isUsed, "the node uses the peer of this test");
+        const text = `POST /items/book/peer HTTP/1.1\r\nHost: a\r\nX-Kept: yes\r\n${spellKey()}`;
+        const body = `Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Late: ${key}\r\n\r\n`;
+        const answer = await sendRaw(address, ports.callers, text + body, got => got.includes("{}"));
+        assert.equal(answer.status, 200, answer.text);
+        peer.close();
+        peer.closeAllConnections();
+        assert.ok(received.includes("/items/book/peer") && received.includes("yes"));
+        const known = /^(x-kept|radishrouter-.*|connection|content-length|transfer-encoding|host)$/i;
+        assert.deepEqual(names.filter(name => !known.test(name)), []);
+        assert.ok(!received.join().toLowerCase().includes(key.slice(3, 12).toLowerCase()));
+    });
+
     test("are all accounted for, without their keys", async () => {
         await waitFor(async () => (await fleet.report("catalogue-1")).openRequests === 0, "no request is open");
         const report = await fleet.report("catalogue-1");
