--- a/packages/core/src/process/document-replica.ts
+++ b/packages/core/src/process/document-replica.ts
@@ -31,6 +31,7 @@
 /** Holds the version in force and the changes that led to it. */
 export class DocumentReplica<Content = unknown> {
     private document = PublishedDocument.empty();
+    private content: Content | undefined;
     private changes: DocumentChange[] = [];
     private lastProblem = "";
 
@@ -87,7 +88,9 @@
                 ) :
                 "base-differs";
         }
-        return this.adopt(next, this.checkRecords(next), source);
+        const isWhole = change.fromVersion === 0;
+        const records = isWhole ? undefined : change.records;
+        return this.adopt(next, this.checkRecords(next, records), source, records);
     }
 
     /** What a node that has a version needs for the one in force; the whole document if the changes are not known. */
@@ -111,16 +114,28 @@
         return this.refuse("conflict", source, `version ${this.version} was published before with other content`);
     }
 
-    private checkRecords(document: PublishedDocument): CheckedDocument<Content> {
+    private checkRecords(
+        document: PublishedDocument,
+        changes: readonly DocumentRecord[] | undefined,
+    ): CheckedDocument<Content> {
+        const { shape } = this.options;
         try {
-            return this.options.shape.check(this.options.shape.join(document.version, document.records()));
+            if (changes && this.content !== undefined && shape.checkChange) {
+                return shape.checkChange(this.content, document.version, changes);
+            }
+            return shape.check(shape.join(document.version, document.records()));
         }
         catch (error) {
             return { kind: "invalid", problem: String(error) };
         }
     }
 
-    private adopt(next: PublishedDocument, checked: CheckedDocument<Content>, source: string): OfferOutcome {
+    private adopt(
+        next: PublishedDocument,
+        checked: CheckedDocument<Content>,
+        source: string,
+        records?: readonly DocumentRecord[],
+    ): OfferOutcome {
         if (checked.kind === "invalid") {
             return this.refuse("invalid", source, checked.problem);
         }
@@ -130,8 +145,9 @@
         if (next.version === this.version) {
             return this.compareHash(next.hash, source);
         }
-        this.log(next);
+        this.log(next, records ?? next.changesSince(this.document));
         this.document = next;
+        this.content = checked.content;
         this.options.onAdopted(checked.content, source);
         return "adopted";
     }
@@ -145,8 +161,7 @@
         return outcome;
     }
 
-    private log(next: PublishedDocument): void {
-        const records = next.changesSince(this.document);
+    private log(next: PublishedDocument, records: readonly DocumentRecord[]): void {
         if (this.version === 0 || records.length > MAXIMUM_LOGGED_RECORDS) {
             this.changes = [];
             return;
--- a/packages/core/src/process/failure-domain-reports.ts
+++ b/packages/core/src/process/failure-domain-reports.ts
@@ -9,7 +9,7 @@
 }
 
 const EXPIRY_MS = 12_000;
-const REPEAT_MS = 1_000;
+const REPEAT_MS = 4_500;
 
 /** Keeps the last report of each watcher; reports that are not repeated expire. */
 export class FailureDomainReports {
--- a/packages/core/src/process/membership-view.ts
+++ b/packages/core/src/process/membership-view.ts
@@ -33,6 +33,7 @@
     private readonly domainReturnedAtMs = new Map<string, number>();
     private readonly eligibleSince = new Map<string, number>();
     private readonly byService = new Map<string, Host[]>();
+    private readonly listedByService = new Map<string, Host[]>();
     private readonly byFailureDomain = new Map<string, Host[]>();
     private readonly listeners = new Set<BeliefListener>();
     private readonly clock: Clock;
@@ -71,10 +72,13 @@
         this.revision = list.revision;
         this.hosts = new Map(list.hosts.map(host => [host.name, host]));
         this.byFailureDomain.clear();
+        this.listedByService.clear();
         this.changed();
         for (const [name, host] of this.hosts) {
-            this.recordListed(before.get(name), host, isFirst);
-            this.reassess(name, isFirst);
+            if (before.get(name) !== host) {
+                this.recordListed(before.get(name), host, isFirst);
+                this.reassess(name, isFirst);
+            }
         }
         for (const name of before.keys()) {
             if (!this.hosts.has(name)) {
@@ -98,7 +102,7 @@
     livePeersOf(service: string): Host[] {
         let peers = this.byService.get(service);
         if (!peers) {
-            peers = this.livePeers().filter(host => host.service === service);
+            peers = this.listedOf(service).filter(host => this.isReachablePeer(host));
             this.byService.set(service, peers);
         }
         return peers;
@@ -107,18 +111,15 @@
     /** Hosts of a failure domain on the platform's list, whatever their state. */
     hostsOf(failureDomain: string): readonly Host[] {
         if (this.byFailureDomain.size === 0) {
-            for (const host of this.hosts.values()) {
-                const hosts = this.byFailureDomain.get(host.failureDomain) ?? [];
-                hosts.push(host);
-                this.byFailureDomain.set(host.failureDomain, hosts);
-            }
+            groupHosts(this.byFailureDomain, this.hosts.values(), host => host.failureDomain);
         }
         return this.byFailureDomain.get(failureDomain) ?? [];
     }
 
     /** Failure domains on the platform's list. */
     failureDomains(): string[] {
-        return [...new Set([...this.hosts.values()].map(host => host.failureDomain))];
+        this.hostsOf("");
+        return [...this.byFailureDomain.keys()];
     }
 
     /** Whether a host is neither leaving nor failed; says nothing of the way to its failure domain. */
@@ -214,6 +215,13 @@
         return () => this.listeners.delete(listener);
     }
 
+    private listedOf(service: string): readonly Host[] {
+        if (this.listedByService.size === 0) {
+            groupHosts(this.listedByService, this.hosts.values(), host => host.service);
+        }
+        return this.listedByService.get(service) ?? [];
+    }
+
     private isReachablePeer(host: Host): boolean {
         return host.name !== this.options.ownName && this.isEligible(host.name) &&
             !this.unreachableDomains.has(host.failureDomain);
@@ -276,3 +284,16 @@
         this.options.audit?.record(change, subject, cause);
     }
 }
+
+function groupHosts(groups: Map<string, Host[]>, hosts: Iterable<Host>, keyOf: (host: Host) => string): void {
+    for (const host of hosts) {
+        const key = keyOf(host);
+        const group = groups.get(key);
+        if (group) {
+            group.push(host);
+        }
+        else {
+            groups.set(key, [host]);
+        }
+    }
+}
--- a/packages/core/src/version/document-shape.ts
+++ b/packages/core/src/version/document-shape.ts
@@ -6,7 +6,7 @@
 import type { Configuration } from "./configuration.js";
 import { configurationSchema } from "./configuration.js";
 import type { HostList } from "./host-list.js";
-import { hostListSchema } from "./host-list.js";
+import { hostListSchema, hostSchema } from "./host-list.js";
 import type { DocumentRecord } from "./published-document.js";
 
 /** A document that was checked, or what is wrong with it. */
@@ -19,6 +19,8 @@
     readonly kind: DocumentKind;
     /** Checks a whole document as it was published. */
     check(value: unknown): CheckedDocument<Content>;
+    /** Checks what changed records make of content that was checked before; undefined if only the whole can be checked. */
+    checkChange?(content: Content, version: number, changes: readonly DocumentRecord[]): CheckedDocument<Content>;
     /** Records of a document that was checked. */
     split(value: unknown): DocumentRecord[];
     /** The document as it was published. */
@@ -72,6 +74,20 @@
 export const hostListShape: DocumentShape<HostList> = {
     kind: DocumentKind.HOST_LIST,
     check: value => checkWith(hostListSchema, value, content => content.revision),
+    checkChange: (list, revision, changes) => {
+        const hosts = new Map(list.hosts.map(host => [host.name, host]));
+        for (const { name, json } of changes) {
+            hosts.delete(name);
+            if (json !== "") {
+                const checked = checkWith(hostSchema, JSON.parse(json), () => revision);
+                if (checked.kind === "invalid") {
+                    return checked;
+                }
+                hosts.set(name, checked.content);
+            }
+        }
+        return { kind: "valid", version: revision, content: { revision, hosts: [...hosts.values()] } };
+    },
     split: value =>
         (value as HostList).hosts.map(host => ({
             section: HOSTS_SECTION,
--- a/packages/daemon/src/connection/control-channels.ts
+++ b/packages/daemon/src/connection/control-channels.ts
@@ -5,17 +5,17 @@
 import { create } from "@bufbuild/protobuf";
 import type { ConnectRouter } from "@connectrpc/connect";
 import { Code, ConnectError, createClient } from "@connectrpc/connect";
-import { connectNodeAdapter, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { connectNodeAdapter, createConnectTransport } from "@connectrpc/connect-node";
 import type { Clock, ControlTransport, ReceivedMessage, Timer } from "@radishrouter/core";
 import { setRepeatingTimer } from "@radishrouter/core";
 import { ControlBatchSchema, ControlMessageSchema, ControlService } from "@radishrouter/protocol";
 import type { ControlBatch, ControlMessage } from "@radishrouter/protocol";
 import { createServer } from "node:http2";
-import type { ClientSessionOptions, Http2Server } from "node:http2";
-import { connect } from "node:net";
+import type { Http2Server } from "node:http2";
 import type { Socket } from "node:net";
 import type { DeploymentProof } from "../process/deployment-proof.js";
 import { ControlOutbox } from "./control-outbox.js";
+import { ControlSession } from "./control-session.js";
 import { ControlTraffic } from "./control-traffic.js";
 
 /** Where the control listener of a node is. */
@@ -126,11 +126,20 @@
 
     /** Task of one peer: exchanges batches until the stream fails or is closed. */
     private async runStream(name: string, host: ControlAddress, outbox: ControlOutbox): Promise<void> {
-        const baseUrl = `http://${host.address}:${host.controlPort}`;
-        const sessionManager = new Http2SessionManager(baseUrl, {}, this.createSessionOptions(host));
-        const transport = createConnectTransport({ baseUrl, httpVersion: "2", sessionManager });
+        const session = ControlSession.create({
+            address: host.address,
+            port: host.controlPort,
+            localAddress: this.options.ownAddress,
+            connectTimeoutMs: CONNECT_TIMEOUT_MS,
+            onSocket: socket => this.traffic.add(socket),
+        });
+        const transport = createConnectTransport({
+            baseUrl: session.authority,
+            httpVersion: "2",
+            sessionManager: session,
+        });
         const client = createClient(ControlService, transport);
-        outbox.whenClosed(() => sessionManager.abort());
+        outbox.whenClosed(() => session.abort());
         try {
             const signal = this.controller.signal;
             for await (const batch of client.exchange(this.createBatches(outbox), { signal })) {
@@ -151,22 +160,6 @@
         }
     }
 
-    private createSessionOptions(host: ControlAddress): ClientSessionOptions {
-        return {
-            createConnection: () => {
-                const localAddress = this.options.ownAddress;
-                const socket = connect({ host: host.address, port: host.controlPort, localAddress, noDelay: true });
-                const timer = this.options.clock.setTimer(
-                    CONNECT_TIMEOUT_MS,
-                    () => socket.destroy(new Error("timed out")),
-                );
-                socket.once("connect", () => timer.cancel());
-                this.traffic.add(socket);
-                return socket;
-            },
-        };
-    }
-
     private delayReconnect(name: string): void {
         const lastMs = this.reconnectDelays.get(name)?.delayMs ?? 0;
         const delayMs = Math.min(Math.max(lastMs * 2, FIRST_RECONNECT_DELAY_MS), MAXIMUM_RECONNECT_DELAY_MS);
--- a/packages/daemon/src/process/fleet-state.ts
+++ b/packages/daemon/src/process/fleet-state.ts
@@ -32,6 +32,7 @@
 }
 
 const PLATFORM = "platform";
+const SEED_ANSWER_MS = 1_500;
 
 /** Membership and configuration of one node. */
 export class FleetState {
@@ -144,6 +145,7 @@
             view: this.membership,
             ownName: settings.host,
             ownFailureDomain: settings.failureDomain,
+            startDelayMs: settings.seeds.length > 0 ? SEED_ANSWER_MS : 0,
             hasConfiguration: () => this.store.current !== undefined,
             onConfiguration: value => this.gate.offer(() => this.offerConfiguration(value)),
             onHostList: value => this.offerHostList(value),
--- a/packages/daemon/src/process/platform-documents.ts
+++ b/packages/daemon/src/process/platform-documents.ts
@@ -15,6 +15,8 @@
     readonly ownFailureDomain: string;
     /** Whether a configuration is in force. */
     readonly hasConfiguration: () => boolean;
+    /** Time that seeds get to answer before the platform is asked for hosts, in milliseconds. */
+    readonly startDelayMs: number;
     readonly onConfiguration: (value: unknown) => void;
     readonly onHostList: (value: unknown) => void;
     /** Called when the platform sent something torn. */
@@ -25,8 +27,8 @@
 /** Readers in each failure domain. */
 export const READERS_PER_FAILURE_DOMAIN = 3;
 
-const ROLE_INTERVAL_MS = 500;
-const START_SPREAD_MS = 1_000;
+const ROLE_INTERVAL_MS = 250;
+const START_SPREAD_MS = 2_000;
 const MINIMUM_FALLBACK_MS = 5_000;
 const FALLBACK_MS_PER_HOST = 50;
 
@@ -34,9 +36,9 @@
 export class PlatformDocuments {
     private readonly random: () => number;
     private readonly timers: Timer[] = [];
-    private watching: AbortController | undefined;
+    private readonly watches = new Map<string, AbortController>();
     private startMs = 0;
-    private fallbackMs = 0;
+    private fallbackMs: number | undefined;
 
     private constructor(private readonly options: PlatformDocumentsOptions) {
         this.random = options.random ?? Math.random;
@@ -49,25 +51,20 @@
     /** Starts; nodes that start together are spread so that they do not read all at once. */
     start(): void {
         const { clock } = this.options;
-        this.startMs = clock.nowMs() + this.random() * START_SPREAD_MS;
-        this.timers.push(setRepeatingTimer(clock, ROLE_INTERVAL_MS / 2, () => this.chooseRole()));
+        this.startMs = clock.nowMs() + this.options.startDelayMs + this.random() * START_SPREAD_MS;
+        this.timers.push(setRepeatingTimer(clock, ROLE_INTERVAL_MS, () => this.chooseRole()));
     }
 
     /** Ends all watches. */
     stop(): void {
         this.timers.forEach(timer => timer.cancel());
-        this.watching?.abort();
+        this.watches.forEach(watch => watch.abort());
     }
 
     private chooseRole(): void {
-        const shouldWatch = this.isReader() || this.isWithoutPeers();
-        if (shouldWatch && !this.watching) {
-            this.watch();
-        }
-        else if (!shouldWatch && this.watching) {
-            this.watching.abort();
-            this.watching = undefined;
-        }
+        const isReader = this.isReader();
+        this.follow(HOST_LIST_KEY, isReader || this.isWithoutHosts(), this.options.onHostList);
+        this.follow(CONFIGURATION_KEY, isReader || this.isLeftAlone(), this.options.onConfiguration);
     }
 
     private isReader(): boolean {
@@ -77,30 +74,34 @@
         return highestScores("configuration reader", eligible, READERS_PER_FAILURE_DOMAIN).includes(ownName);
     }
 
-    /** Whether this node knows no hosts, or its peers have left it without a configuration for long. */
-    private isWithoutPeers(): boolean {
+    /** Whether this node has to ask the platform for a first list of hosts. */
+    private isWithoutHosts(): boolean {
+        return !this.options.view.hasList && this.options.clock.nowMs() >= this.startMs;
+    }
+
+    /** Whether peers have left this node without a configuration for long. */
+    private isLeftAlone(): boolean {
         const { clock, view, ownFailureDomain, hasConfiguration } = this.options;
-        const nowMs = clock.nowMs();
-        if (!view.hasList) {
-            return nowMs >= this.startMs;
-        }
-        if (hasConfiguration()) {
+        if (hasConfiguration() || !view.hasList) {
             return false;
         }
         const spreadMs = Math.max(MINIMUM_FALLBACK_MS, view.hostsOf(ownFailureDomain).length * FALLBACK_MS_PER_HOST);
-        this.fallbackMs ||= nowMs + spreadMs * (1 + this.random());
-        return nowMs >= this.fallbackMs;
+        this.fallbackMs ??= this.startMs + spreadMs * (1 + this.random());
+        return clock.nowMs() >= this.fallbackMs;
     }
 
-    private watch(): void {
-        const { reader, onConfiguration, onHostList, onCorrupt } = this.options;
-        this.watching = new AbortController();
-        const { signal } = this.watching;
-        const follow = (key: string, handle: (value: unknown) => void) => {
+    private follow(key: string, wanted: boolean, handle: (value: unknown) => void): void {
+        const watch = this.watches.get(key);
+        if (wanted && !watch) {
+            const { reader, onCorrupt } = this.options;
+            const controller = new AbortController();
             const onValue = ({ value }: PlatformValue) => handle(value);
-            void reader.watch(key, { onValue, onCorrupt: problem => onCorrupt(key, problem) }, signal);
-        };
-        follow(HOST_LIST_KEY, onHostList);
-        follow(CONFIGURATION_KEY, onConfiguration);
+            this.watches.set(key, controller);
+            void reader.watch(key, { onValue, onCorrupt: problem => onCorrupt(key, problem) }, controller.signal);
+        }
+        else if (!wanted && watch) {
+            this.watches.delete(key);
+            watch.abort();
+        }
     }
 }
--- /dev/null
+++ b/packages/testbed/src/bench/control.ts
@@ -0,0 +1,206 @@
+/**
+ * Scenario `control`: what membership, configuration and rate shares cost a node, by the number of nodes.
+ */
+import { CONFIGURATION_KEY, HOST_LIST_KEY, hostListShape, MembershipView } from "@radishrouter/core";
+import type { Configuration, Host } from "@radishrouter/core";
+import { fileURLToPath } from "node:url";
+import { request } from "undici";
+import { FleetAddresses, ports } from "../fleet/addresses.js";
+import { Child } from "../fleet/child.js";
+import { createExampleConfiguration } from "../fleet/example-configuration.js";
+import { waitFor } from "../fleet/fleet.js";
+import { controlSampleSchema } from "./control-sample.js";
+import type { ControlSample } from "./control-sample.js";
+import type { Measures, Scenario } from "./scenario.js";
+
+const SIZES = [24, 96, 192];
+const PROCESSES = 4;
+const FAILURE_DOMAINS = ["khomas-a", "khomas-b", "khomas-c"];
+const SETTLE_MS = 5_000;
+const QUIET_MS = 6_000;
+const CHANGES = 8;
+const CHANGE_INTERVAL_MS = 500;
+const AIM_HOSTS = 28_000;
+const AIM_FAILURE_DOMAINS = 31;
+const AIM_SERVICES = 1_300;
+
+const workerScript = fileURLToPath(new URL("control-worker.js", import.meta.url));
+const standInScript = fileURLToPath(new URL("../standin/main.js", import.meta.url));
+
+interface Fleet {
+    readonly size: number;
+    readonly addresses: FleetAddresses;
+    readonly workers: readonly Child[];
+    readonly configuration: Configuration;
+}
+
+function createHost(addresses: FleetAddresses, index: number): Host {
+    return {
+        name: `host-${index}`,
+        address: addresses.host(index),
+        failureDomain: FAILURE_DOMAINS[index % FAILURE_DOMAINS.length]!,
+        region: "khomas",
+        service: "catalogue",
+        callerPort: ports.callers,
+        forwardPort: ports.forward,
+        controlPort: ports.control,
+        state: "live",
+    };
+}
+
+function createSettings(addresses: FleetAddresses, index: number): unknown {
+    const { name, address, failureDomain, region, service } = createHost(addresses, index);
+    return {
+        host: name,
+        address,
+        loopbackAddress: address,
+        failureDomain,
+        region,
+        service,
+        seat: Math.floor(index / FAILURE_DOMAINS.length),
+        ports: {
+            callers: ports.callers,
+            forward: ports.forward,
+            control: ports.control,
+            backend: ports.backend,
+            operators: ports.operators,
+        },
+        backendServer: { address, port: ports.backendServer },
+        platform: { url: `http://${addresses.platform}:${ports.platform}` },
+        deploymentSecret: "secret-of-the-bench-deployment",
+    };
+}
+
+async function publish(addresses: FleetAddresses, key: string, value: unknown): Promise<void> {
+    const url = `http://${addresses.platform}:${ports.platform + 1}/values/${encodeURIComponent(key)}`;
+    const answer = await request(url, { method: "PUT", body: JSON.stringify(value) });
+    await answer.body.dump();
+}
+
+function lastSample(worker: Child): ControlSample | undefined {
+    const line = worker.lines.at(-1);
+    return line?.startsWith("{") ? controlSampleSchema.parse(JSON.parse(line)) : undefined;
+}
+
+function sleep(durationMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, durationMs));
+}
+
+/** Cost of one node over a time, from the samples before and after. */
+async function measureFor(fleet: Fleet, action: () => Promise<void>): Promise<Measures> {
+    const before = fleet.workers.map(worker => lastSample(worker)!);
+    await action();
+    const after = fleet.workers.map(worker => lastSample(worker)!);
+    const perNode = (read: (sample: ControlSample) => number) =>
+        after.reduce((sum, sample, index) => {
+            const earlier = before[index]!;
+            return sum + (read(sample) - read(earlier)) / ((sample.timeMs - earlier.timeMs) / 1000);
+        }, 0) / fleet.size;
+    return {
+        processor_ms_per_second: perNode(sample => sample.processorMs),
+        sent_bytes_per_second: perNode(sample => sample.sentBytes),
+        received_bytes_per_second: perNode(sample => sample.receivedBytes),
+        batches_per_second: perNode(sample => sample.sentBatches),
+        messages_per_second: perNode(sample => sample.sentMessages),
+        sockets: after.reduce((sum, sample) => sum + sample.openSockets, 0) / fleet.size,
+        heap_bytes: after.reduce((sum, sample) => sum + sample.heapBytes, 0) / fleet.size,
+        resident_bytes: after.reduce((sum, sample) => sum + sample.residentBytes, 0) / fleet.size,
+    };
+}
+
+async function publishChanges(fleet: Fleet): Promise<void> {
+    for (let change = 1; change <= CHANGES; change++) {
+        const organisations = structuredClone(fleet.configuration.organisations);
+        organisations["archive"]!.rate += change;
+        const version = fleet.configuration.version + change;
+        await publish(fleet.addresses, CONFIGURATION_KEY, { ...fleet.configuration, organisations, version });
+        await sleep(CHANGE_INTERVAL_MS);
+    }
+    const version = fleet.configuration.version + CHANGES;
+    const isLevel = () => fleet.workers.every(worker => (lastSample(worker)?.lowestVersion ?? 0) === version);
+    await waitFor(isLevel, `all nodes have version ${version}`);
+}
+
+async function measureSize(size: number): Promise<Measures> {
+    const addresses = FleetAddresses.create(process.pid + size);
+    const { configuration } = createExampleConfiguration({
+        organisations: { archive: { rate: 1_000, burst: 1_000 }, mission: { rate: 1_000, burst: 1_000 } },
+        services: { catalogue: {} },
+        failureDomains: Object.fromEntries(
+            FAILURE_DOMAINS.map(name => [name, { region: "khomas", seats: size / FAILURE_DOMAINS.length }]),
+        ),
+    });
+    const platformOptions = { kind: "platform", address: addresses.platform, port: ports.platform };
+    const platform = Child.create("platform", standInScript, [JSON.stringify(platformOptions)]);
+    await platform.ready;
+    await publish(addresses, CONFIGURATION_KEY, configuration);
+    const hosts = Array.from({ length: size }, (_, index) => createHost(addresses, index));
+    await publish(addresses, HOST_LIST_KEY, { revision: 1, hosts });
+    const workers = Array.from({ length: PROCESSES }, (_, worker) => {
+        const indexes = hosts.map((_, index) => index).filter(index => index % PROCESSES === worker);
+        const settings = indexes.map(index => createSettings(addresses, index));
+        return Child.create(`worker ${worker}`, workerScript, [JSON.stringify(settings)]);
+    });
+    try {
+        const fleet = { size, addresses, workers, configuration };
+        await waitFor(() => workers.every(worker => lastSample(worker)?.fewestPeers === size - 1), "all know all");
+        await waitFor(() => workers.every(worker => lastSample(worker)!.lowestVersion >= 1), "all have a version");
+        await sleep(SETTLE_MS);
+        const quiet = await measureFor(fleet, () => sleep(QUIET_MS));
+        const changing = await measureFor(fleet, () => publishChanges(fleet));
+        return { ...withPrefix(`nodes_${size}_`, quiet), ...withPrefix(`nodes_${size}_changing_`, changing) };
+    }
+    finally {
+        await Promise.all([platform, ...workers].map(child => child.kill()));
+    }
+}
+
+function withPrefix(prefix: string, measures: Measures): Measures {
+    return Object.fromEntries(Object.entries(measures).map(([name, value]) => [prefix + name, value]));
+}
+
+/** What the list of all hosts costs one node at the size that the design aims for. */
+function measureHostList(): Measures {
+    const addresses = FleetAddresses.create(1);
+    const value = {
+        revision: 1,
+        hosts: Array.from({ length: AIM_HOSTS }, (_, index) => ({
+            ...createHost(addresses, 1),
+            name: `host-${index}`,
+            failureDomain: `domain-${index % AIM_FAILURE_DOMAINS}`,
+            service: `service-${index % AIM_SERVICES}`,
+        })),
+    };
+    const text = JSON.stringify(value);
+    const heapBefore = process.memoryUsage().heapUsed;
+    const startMs = performance.now();
+    const checked = hostListShape.check(JSON.parse(text));
+    const records = hostListShape.split(value);
+    const view = MembershipView.create({ ownName: "host-0" });
+    if (checked.kind === "valid") {
+        view.setPlatformList(checked.content);
+    }
+    view.livePeersOf("service-1");
+    return {
+        host_list_bytes: text.length,
+        host_list_adopt_ms: performance.now() - startMs,
+        host_list_heap_bytes: process.memoryUsage().heapUsed - heapBefore,
+        host_list_records: records.length,
+    };
+}
+
+async function run(): Promise<Measures> {
+    let measures = measureHostList();
+    for (const size of SIZES) {
+        measures = { ...measures, ...await measureSize(size) };
+        process.stderr.write(`control: ${size} nodes done\n`);
+    }
+    return measures;
+}
+
+/** Measures control cost at several sizes, with several nodes' control parts in each process. */
+export const controlScenario: Scenario = {
+    name: "control",
+    description: "processor time, bytes and memory of control for each node, by number of nodes",
+    run,
+};
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -1,6 +1,8 @@
 /**
  * All scenarios of the bench.
  */
+import { configurationScenario } from "./configuration.js";
+import { controlScenario } from "./control.js";
 import { fleetRateScenario } from "./fleet-rate.js";
 import type { Scenario } from "./scenario.js";
 import { transportScenario } from "./transport/transport-scenario.js";
@@ -8,5 +10,7 @@
 /** Scenarios by the order in which they are listed. */
 export const scenarios: readonly Scenario[] = [
     fleetRateScenario,
+    configurationScenario,
+    controlScenario,
     transportScenario,
 ];
--- a/packages/testbed/src/test/fleet-state.test.ts
+++ b/packages/testbed/src/test/fleet-state.test.ts
@@ -20,6 +20,9 @@
     { name: `items-${failureDomain}`, service: "items", failureDomain, region: "khomas", seat: 1 },
 ]);
 
+/** Long enough for nodes to give up streams on which nothing comes back. */
+const STREAMS_GIVEN_UP_MS = 12_000;
+
 describe("membership and configuration of real processes", () => {
     let fleet: Fleet;
     let version = 1;
@@ -43,6 +46,10 @@
         }
     }
 
+    function startTimes(): Promise<string[]> {
+        return Promise.all([...fleet.hosts.keys()].map(async name => (await fleet.status(name)).startedAt));
+    }
+
     async function audit(name: string): Promise<AuditEntry[]> {
         const answer = await request(`${fleet.operatorsUrl(name)}/audit`);
         return (await answer.body.json() as { entries: AuditEntry[]; }).entries;
@@ -121,6 +128,8 @@
             assert.equal(await send(name, "/catalogue/read/1", `cut-${domain}`), 200);
         }
         assert.equal((await fleet.status("items-khomas-b")).configurationVersion, version - 1);
+        const startsBefore = await startTimes();
+        await new Promise(resolve => setTimeout(resolve, STREAMS_GIVEN_UP_MS));
         const runs = fleet.runRecords().filter(run => run.requestId.startsWith("cut-") && run.event === "start");
         assert.deepEqual(runs.map(run => run.host), ["catalogue-khomas-a", "catalogue-khomas-b"]);
         await fleet.setProxyRules([]);
@@ -128,6 +137,7 @@
         for (const name of fleet.hosts.keys()) {
             await fleet.waitForConfiguration(name);
         }
+        assert.deepEqual(await startTimes(), startsBefore);
     });
 
     test("a host that the platform lists as leaving gets no new work, one whose process is gone neither", async () => {
