--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -2,6 +2,8 @@
  * All scenarios of the bench.
  */
 import { crashingRequest } from "./crashing-request.js";
+import { configurationScenario } from "./configuration.js";
+import { controlScenario } from "./control.js";
 import { fleetRateScenario } from "./fleet-rate.js";
 import { hangScenario } from "./hang/hang-scenario.js";
 import { overloadScenario } from "./overload/overload-scenario.js";
@@ -16,6 +18,8 @@
     rolling,
     crashingRequest,
     silent,
+    configurationScenario,
+    controlScenario,
     transportScenario,
     overloadScenario,
     hangScenario,
