--- a/packages/core/src/process/rate-share/share-collector.ts
+++ b/packages/core/src/process/rate-share/share-collector.ts
@@ -77,7 +77,6 @@
             const share = this.context.state.settled(organisation);
             if (share && pending.organisations.includes(organisation)) {
                 share.borrowed.put({ ...lease, fraction });
-                this.context.state.clip(share);
             }
         }
     }
@@ -104,9 +103,10 @@
             return;
         }
         const isExtension = rangeShare.collected.from(lease.lender, clock.nowMs()) === lease.fraction;
-        const shares = isExtension ? [] : state.settledRange(range);
+        if (!isExtension) {
+            state.settledRange(range);
+        }
         rangeShare.collected.put(lease);
-        shares.forEach(share => state.clip(share));
     }
 
     private collect(): void {
@@ -222,7 +222,6 @@
             }
             state.rangeShare(range)!.collected.lenders(nowMs).forEach(lender => lenders.add(lender));
             state.rangeShare(range)!.collected.clear();
-            shares.forEach(share => state.clip(share));
         }
         this.pending.clear();
         const upToRequestId = this.context.nextRequestId();
--- a/packages/core/src/process/rate-share/share-lender.ts
+++ b/packages/core/src/process/rate-share/share-lender.ts
@@ -122,7 +122,6 @@
             return 0;
         }
         rangeShare.loans.add(terms.borrower, terms.requestId, fraction, terms.endsMs);
-        shares.forEach(share => state.clip(share));
         return fraction;
     }
 
@@ -146,7 +145,6 @@
         const fraction = this.lendableTo(share, demand, terms);
         if (fraction > 0) {
             share.loans.add(terms.borrower, terms.requestId, fraction, terms.endsMs);
-            this.context.state.clip(share);
         }
         return create(LeasedShareSchema, { organisation, fraction });
     }
--- a/packages/core/src/process/rate-share/share-state.ts
+++ b/packages/core/src/process/rate-share/share-state.ts
@@ -154,15 +154,6 @@
         return (mints ? this.seatFraction : 0) + range.collected.heldAt(toMs);
     }
 
-    /** Drops tokens above the burst of what is left, after something was lent or given back. */
-    clip(share: OrganisationShare): void {
-        const limits = this.limitsOf(share.organisation);
-        if (limits) {
-            const nowMs = this.options.clock.nowMs();
-            share.pool.clip(this.fractionOver(share, nowMs, nowMs), limits);
-        }
-    }
-
     private *all(): Iterable<OrganisationShare> {
         for (const share of this.organisations.values()) {
             if (this.limitsOf(share.organisation)) {
--- a/packages/core/src/process/rate-share/token-pool.ts
+++ b/packages/core/src/process/rate-share/token-pool.ts
@@ -21,7 +21,7 @@
 /**
  * Mints for the fraction that is held; tokens and open grants together never exceed the burst of that fraction.
  *
- * Every change of the fraction has to be preceded by {@link settle}.
+ * Every change of the fraction has to be preceded by {@link settle}, and so has every use of the tokens.
  */
 export class TokenPool {
     private tokens = 0;
@@ -59,12 +59,6 @@
         this.grants = this.grants.filter(grant => grant.endsMs > nowMs);
     }
 
-    /** Drops tokens above the burst of a fraction that has just become smaller. */
-    clip(fraction: number, limits: RateLimits): void {
-        const room = fraction * limits.burst - this.openTokens(this.settledMs);
-        this.tokens = Math.max(0, Math.min(this.tokens, room));
-    }
-
     /** Takes whole tokens if there are as many. */
     tryTake(count: number): boolean {
         if (this.tokens < count) {
