Let requests at a collecting node wait for the next token

Cause: a request that entered at the collector was refused whenever the pool was empty for a moment, while one at an entry node waited for a grant.

--- a/packages/core/src/process/rate-share/leased-share-limiter.ts
+++ b/packages/core/src/process/rate-share/leased-share-limiter.ts
@@ -7,9 +7,10 @@
 import type { Clock, Timer } from "../clock.js";
 import { setRepeatingTimer } from "../clock.js";
 import type { RateDecision, RateLimiter } from "../rate-limiter.js";
-import { DemandBoard, isOverRate } from "./demand-board.js";
+import { DemandBoard } from "./demand-board.js";
 import { GrantClient } from "./grant-client.js";
-import { GrantServer, retryAfterMs } from "./grant-server.js";
+import { GrantServer } from "./grant-server.js";
+import { PoolQueue } from "./pool-queue.js";
 import { SeatGuard } from "./seat-guard.js";
 import type { Seat } from "./seat-guard.js";
 import { ShareCollector } from "./share-collector.js";
@@ -58,6 +59,7 @@
     private readonly collector: ShareCollector;
     private readonly server: GrantServer;
     private readonly client: GrantClient;
+    private readonly queue: PoolQueue;
     private readonly timer: Timer;
     private readonly unsubscribe: () => void;
     private nextSettleMs = 0;
@@ -68,6 +70,7 @@
         this.collector = ShareCollector.create(context);
         this.server = GrantServer.create(context);
         this.client = GrantClient.create(context);
+        this.queue = PoolQueue.create(context);
         this.unsubscribe = context.transport.subscribe(received => this.receive(received));
         this.timer = setRepeatingTimer(context.clock, context.timings.tickMs, () => this.tick());
     }
@@ -96,13 +99,7 @@
         if (collector !== undefined && collector !== ownName) {
             return this.client.acquire(organisation, collector);
         }
-        const rate = state.limitsOf(organisation)!.ratePerSecond;
-        const perSecond = demand.ofFleet(organisation);
-        return {
-            kind: "refused",
-            retryAfterMs: retryAfterMs(perSecond, rate),
-            withinRate: !isOverRate(perSecond, rate),
-        };
+        return this.queue.wait(organisation);
     }
 
     readyInMs(): number {
@@ -131,6 +128,7 @@
             this.checkPause();
             this.collector.returnAll();
             this.client.close();
+            this.queue.close();
             this.stopped = true;
             this.timer.cancel();
             this.unsubscribe();
@@ -146,6 +144,7 @@
         }
         this.collector.tick();
         this.client.tick();
+        this.queue.tick();
     }
 
     private receive(received: ReceivedMessage): void {
--- a/packages/core/src/process/rate-share/share-lender.ts
+++ b/packages/core/src/process/rate-share/share-lender.ts
@@ -138,10 +138,10 @@
     private lendShare(demand: ShareDemand, terms: Terms): LeasedShare {
         const { organisation } = demand;
         const share = this.context.state.settled(organisation);
-        this.context.demand.reportFailureDomain(organisation, terms.borrower.host, demand.demandPerSecond);
         if (!share || !isCollector(this.context, share.range.range)) {
             return create(LeasedShareSchema, { organisation, fraction: 0 });
         }
+        this.context.demand.reportFailureDomain(organisation, terms.borrower.host, demand.demandPerSecond);
         const fraction = this.lendableTo(share, demand, terms);
         if (fraction > 0) {
             share.loans.add(terms.borrower, terms.requestId, fraction, terms.endsMs);
