--- a/packages/core/src/process/rate-share/share-lender.ts
+++ b/packages/core/src/process/rate-share/share-lender.ts
@@ -15,7 +15,7 @@
 /** A collector keeps at least this part of what it collected, so that its own failure domain never starts empty. */
 const KEPT_FRACTION = 0.02;
 /** Shares are sized for this multiple of the measured demand. */
-export const DEMAND_HEADROOM = 1.3;
+export const DEMAND_HEADROOM = 1.2;
 
 interface Terms {
     readonly borrower: Borrower;
@@ -73,6 +73,7 @@
             ranges: ranges.map(range => create(LeasedRangeSchema, { range, fraction: this.lendRange(range, terms) })),
             shares: demands.map(demand => this.lendShare(demand, terms)),
             supersedingIncarnation: superseding,
+            seatless: this.context.state.isSeatless,
         });
         transport.send(sender, { case: "leaseAnswer", value });
     }
@@ -121,7 +122,6 @@
             return 0;
         }
         rangeShare.loans.add(terms.borrower, terms.requestId, fraction, terms.endsMs);
-        shares.forEach(share => state.clip(share));
         return fraction;
     }
 
@@ -138,14 +138,13 @@
     private lendShare(demand: ShareDemand, terms: Terms): LeasedShare {
         const { organisation } = demand;
         const share = this.context.state.settled(organisation);
-        this.context.demand.reportFailureDomain(organisation, terms.borrower.host, demand.demandPerSecond);
         if (!share || !isCollector(this.context, share.range.range)) {
             return create(LeasedShareSchema, { organisation, fraction: 0 });
         }
+        this.context.demand.reportFailureDomain(organisation, terms.borrower.host, demand.demandPerSecond);
         const fraction = this.lendableTo(share, demand, terms);
         if (fraction > 0) {
             share.loans.add(terms.borrower, terms.requestId, fraction, terms.endsMs);
-            this.context.state.clip(share);
         }
         return create(LeasedShareSchema, { organisation, fraction });
     }
--- a/packages/core/src/process/rate-share/share-state.ts
+++ b/packages/core/src/process/rate-share/share-state.ts
@@ -57,6 +57,11 @@
         return new ShareState(options);
     }
 
+    /** Whether the version in force has no seat of this process's number. */
+    get isSeatless(): boolean {
+        return this.version !== undefined && this.seatFraction === 0;
+    }
+
     /** Part of every rate that the own seat mints in the version in force. */
     get seatFraction(): number {
         const { failureDomain, number } = this.options.seat;
@@ -149,15 +154,6 @@
         return (mints ? this.seatFraction : 0) + range.collected.heldAt(toMs);
     }
 
-    /** Drops tokens above the burst of what is left, after something was lent or given back. */
-    clip(share: OrganisationShare): void {
-        const limits = this.limitsOf(share.organisation);
-        if (limits) {
-            const nowMs = this.options.clock.nowMs();
-            share.pool.clip(this.fractionOver(share, nowMs, nowMs), limits);
-        }
-    }
-
     private *all(): Iterable<OrganisationShare> {
         for (const share of this.organisations.values()) {
             if (this.limitsOf(share.organisation)) {
