Expect the repeat mark among forwarded headers

Cause: the overload policy added the mark after the test was written. Change: the test expects it as absent and as present, each exactly.

--- a/packages/daemon/src/test/parsing.property.test.ts
+++ b/packages/daemon/src/test/parsing.property.test.ts
@@ -83,7 +83,9 @@
             [forwardHeaders.retries]: "2",
         };
         const expected = { organisation: "archive", importance: "critical", remainingMs: 250, retries: 2 };
-        assert.deepEqual(readForwardedHeaders(good), expected);
+        assert.deepEqual(readForwardedHeaders(good), { ...expected, isRepeat: false });
+        const repeat = { ...good, [forwardHeaders.repeat]: "1" };
+        assert.deepEqual(readForwardedHeaders(repeat), { ...expected, isRepeat: true });
     });
 
     test("refuses heads with numbered results only, and never takes an internal header", () => {
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -1,9 +1,9 @@
 /**
  * All scenarios of the bench.
  */
-import { crashingRequest } from "./crashing-request.js";
 import { configurationScenario } from "./configuration.js";
 import { controlScenario } from "./control.js";
+import { crashingRequest } from "./crashing-request.js";
 import { fleetRateScenario } from "./fleet-rate.js";
 import { hangScenario } from "./hang/hang-scenario.js";
 import { overloadScenario } from "./overload/overload-scenario.js";
