Let the stand-in peer of hostile-callers name the exchange

Cause: nodes now take an answer only when it names its exchange; the stand-in peer of the test did not, and its server stayed open after the failure, so that the run did not end.

Change: the stand-in peer repeats the header, and is closed whatever the result.

--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -298,7 +298,7 @@
         controller.abort();
     });
 
-    test("cannot make a key reach another node", async () => {
+    test("cannot make a key reach another node", async context => {
         const received: string[] = [];
         const names: string[] = [];
         const peer = createServer((incoming, response) => {
@@ -307,12 +307,18 @@
             incoming.on("data", chunk => received.push(String(chunk)));
             incoming.on("end", () => {
                 received.push(...incoming.rawTrailers);
-                response.writeHead(200, { "radishrouter-outcome": "answered", "radishrouter-retries-left": "0" });
+                const exchange = String(incoming.headers["radishrouter-exchange"]);
+                const headers = { "radishrouter-outcome": "answered", "radishrouter-retries-left": "0" };
+                response.writeHead(200, { ...headers, "radishrouter-exchange": exchange });
                 response.end("{}");
             });
         });
         const peerAddress = fleet.addresses.client;
         await new Promise<void>(resolve => peer.listen(ports.forward, peerAddress, resolve));
+        context.after(() => {
+            peer.close();
+            peer.closeAllConnections();
+        });
         const place = { failureDomain: "khomas-a", region: "khomas", callerPort: ports.callers };
         const listeners = { ...place, forwardPort: ports.forward, controlPort: ports.control, state: "live" };
         await fleet.publishValue(HOST_LIST_KEY, {
@@ -328,8 +334,6 @@
         const body = `Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-Late: ${key}\r\n\r\n`;
         const answer = await sendRaw(address, ports.callers, text + body, got => got.includes("{}"));
         assert.equal(answer.status, 200, answer.text);
-        peer.close();
-        peer.closeAllConnections();
         assert.ok(received.includes("/items/book/peer") && received.includes("yes"));
         const known = /^(x-kept|radishrouter-.*|connection|content-length|transfer-encoding|host)$/i;
         assert.deepEqual(names.filter(name => !known.test(name)), []);
