--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -16,6 +16,7 @@
 import createDebug from "debug";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { KeyedDispatcher } from "../process/keyed-dispatcher.js";
+import type { OpenRequests } from "../process/open-requests.js";
 import type { Settings } from "../process/settings.js";
 import { writeAnswer } from "../request/answer-writer.js";
 import { DEADLINE_HEADER, ISSUED_KEYS_TARGET } from "../request/header-names.js";
@@ -35,6 +36,7 @@
     readonly limits: Settings["limits"];
     readonly ledger: OutcomeLedger;
     readonly rateLimiter: RateLimiter;
+    readonly openRequests: OpenRequests;
     readonly dispatcher: KeyedDispatcher;
     /** Sheds by what answers tell of services further down the chain; undefined when switched off. */
     readonly entryAdmission: EntryAdmission | undefined;
@@ -205,6 +207,7 @@
     const { matched, key, remainingMs } = admission;
     const lifetime = RequestLifetime.create(parts.clock, response, remainingMs);
     const chainPressure = ChainPressure.create();
+    const endOpen = openRequest(parts, admission, lifetime);
     try {
         const context = {
             organisation: admission.identity?.organisation ?? OPEN_ORGANISATION,
@@ -237,10 +240,24 @@
         admission.ticket?.end(
             wasAbandoned ? { kind: "abandoned" } : { kind: "answered", level: chainPressure.tightest },
         );
+        endOpen();
         lifetime.end();
     }
 }
 
+/** Makes the request end when its key is withdrawn, also if that happened since it was admitted. */
+function openRequest(parts: CallerListenerParts, admission: Admission, lifetime: RequestLifetime): () => void {
+    const keyId = admission.identity?.keyId;
+    if (keyId === undefined) {
+        return () => undefined;
+    }
+    if (parts.version()?.keys.has(keyId) === false) {
+        lifetime.end();
+        throw RequestError.create("key-invalid");
+    }
+    return parts.openRequests.add(keyId, lifetime);
+}
+
 /** Whether a request announces a body. */
 export function hasBody(request: IncomingMessage): boolean {
     const length = request.headers["content-length"];
--- a/packages/daemon/src/request/header-names.ts
+++ b/packages/daemon/src/request/header-names.ts
@@ -30,6 +30,8 @@
     retries: "radishrouter-retries",
     /** Present when an earlier attempt may have run. */
     repeat: "radishrouter-repeat",
+    /** Names one exchange; the answer repeats it, so that it cannot be taken for the answer to another request. */
+    exchange: "radishrouter-exchange",
     /** Set when the receiver owns the idempotency key and has to decide whether the request may run. */
     keyOwner: "radishrouter-key-owner",
 } as const;
--- a/packages/testbed/src/standin/backend-server.ts
+++ b/packages/testbed/src/standin/backend-server.ts
@@ -15,12 +15,15 @@
     slots: z.number().int().positive().default(64),
     /** Targets that each request calls in turn, such as `/items/search`. */
     onwardCalls: z.array(z.string()).default([]),
-    /** `hang`: accepts and never answers; `truncate`: ends answers early. */
-    mode: z.enum(["normal", "hang", "truncate"]).default("normal"),
+    /**
+     * `hang`: accepts and never answers; `truncate`: ends answers early; `unframed`: ends them early and gives neither a
+     * length nor chunks.
+     */
+    mode: z.enum(["normal", "hang", "truncate", "unframed"]).default("normal"),
     /** Bytes of each answer besides its description. */
     answerBytes: z.number().int().min(0).default(0),
-    /** `brief` leaves the headers out, for runs with much load. */
-    records: z.enum(["full", "brief"]).default("full"),
+    /** `brief` leaves the headers out and `none` the records, for runs with much load. */
+    records: z.enum(["full", "brief", "none"]).default("full"),
 });
 
 /** How a stand-in backend server behaves; see {@link backendBehaviourSchema}. */
@@ -104,7 +107,9 @@
                 return;
             }
             const received = await countBytes(request);
-            await sleep(this.behaviour.serviceMs, undefined, { signal: cancelled.signal });
+            if (this.behaviour.serviceMs > 0) {
+                await sleep(this.behaviour.serviceMs, undefined, { signal: cancelled.signal });
+            }
             const status = await this.callOnward(request, cancelled.signal);
             this.answer(request, response, status, received);
             this.record("end", request);
@@ -123,6 +128,10 @@
         });
         const body = description + " ".repeat(this.behaviour.answerBytes);
         const length = Buffer.byteLength(body) + (this.behaviour.mode === "truncate" ? 10 : 0);
+        if (this.behaviour.mode === "unframed") {
+            request.socket.end(`HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n${body.slice(0, body.length / 2)}`);
+            return;
+        }
         response.writeHead(status, { "content-type": "application/json", "content-length": length });
         if (this.behaviour.mode === "truncate") {
             response.write(body, () => response.destroy());
@@ -163,6 +172,9 @@
     }
 
     private record(event: RunRecord["event"], request: IncomingMessage): void {
+        if (this.behaviour.records === "none") {
+            return;
+        }
         const record: RunRecord = {
             event,
             host: this.options.host,
--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -166,6 +166,22 @@
         assert.equal(problemOf(answer.body).execution, "unknown");
     });
 
+    test("hold a slot only until the deadline when they do not read their answer", async () => {
+        await fleet.setBehaviour("catalogue-1", { answerBytes: 64_000_000 });
+        const before = (await fleet.report("catalogue-1")).organisations["archive"]?.unknown["3001"] ?? 0;
+        const socket = connect(ports.callers, address, () => socket.write(`${read}Deadline-Ms: 1000\r\n\r\n`));
+        socket.pause();
+        socket.on("error", () => undefined);
+        await waitFor(async () => (await fleet.status("catalogue-1")).load.inFlight === 1, "the request holds a slot");
+        await waitFor(async () => {
+            const { load } = await fleet.status("catalogue-1");
+            const unknown = (await fleet.report("catalogue-1")).organisations["archive"]?.unknown["3001"];
+            return load.inFlight === 0 && unknown === before + 1;
+        }, "the slot is free and the request is counted as past its deadline");
+        socket.destroy();
+        await fleet.setBehaviour("catalogue-1", { answerBytes: 0 });
+    });
+
     test("hold a bounded number of connections and requests open", async () => {
         const sockets: Socket[] = [];
         let refused = 0;
@@ -227,6 +243,20 @@
         assert.ok(!JSON.stringify(runs).toLowerCase().includes(key.slice(3, 12).toLowerCase()));
     });
 
+    test("cannot make onward calls without the handle of a request that runs", async () => {
+        await waitFor(() => serves("catalogue-1"), "a request has run");
+        const ended = fleet.runRecords().find(run => run.host === "catalogue-1" && run.path === "/read/innocent");
+        const late = String(ended?.headers["radishrouter-handle"]);
+        assert.match(late, /^[A-Za-z0-9_-]{20,}$/);
+        const organisation = { "radishrouter-organisation": "archive", "authorization": `Bearer ${key}` };
+        for (const handle of [{}, { "radishrouter-handle": "x" }, { "radishrouter-handle": late }]) {
+            const headers = { ...organisation, ...handle };
+            const answer = await request(`http://${address}:${ports.backend}/items/read/onward`, { headers });
+            assert.deepEqual([answer.statusCode, (await answer.body.json() as { code: number; }).code], [403, 1011]);
+        }
+        assert.ok(!fleet.runRecords().some(run => run.path.includes("onward")));
+    });
+
     test("cannot pass for a node on the forward listener", async () => {
         const url = `http://${address}:${ports.forward}/catalogue/read/forged`;
         const forged: Record<string, string> = {
