--- a/packages/daemon/src/process/server-connections.ts
+++ b/packages/daemon/src/process/server-connections.ts
@@ -29,14 +29,7 @@
         return isIdempotent ? this.idempotent : this.nonIdempotent;
     }
 
-    /** Puts no further request on the connections that are open now; those that run may end. */
-    renew(): void {
-        void this.close();
-        this.idempotent = createHalf(this.options, IDLE_MS);
-        this.nonIdempotent = createHalf(this.options, UNPROVEN_MS);
-    }
-
-    /** Changes how many connections the server accepts; requests on the old connections end before these are closed. */
+    /** Changes the number of connections; requests on the old ones end before these are closed. */
     setConnections(connections: number): void {
         if (connections !== this.options.connections) {
             this.options = { ...this.options, connections };
@@ -44,6 +37,13 @@
         }
     }
 
+    /** Puts no further request on the connections that are open now; those that run may end. */
+    renew(): void {
+        void this.close();
+        this.idempotent = createHalf(this.options, IDLE_MS);
+        this.nonIdempotent = createHalf(this.options, UNPROVEN_MS);
+    }
+
     /** Closes all connections after the requests on them have ended. */
     async close(): Promise<void> {
         await Promise.all([this.idempotent.close(), this.nonIdempotent.close()]);
--- a/packages/testbed/src/bench/scenarios.ts
+++ b/packages/testbed/src/bench/scenarios.ts
@@ -6,6 +6,7 @@
 import { crashingRequest } from "./crashing-request.js";
 import { fleetRateScenario } from "./fleet-rate.js";
 import { hangScenario } from "./hang/hang-scenario.js";
+import { overheadScenario } from "./overhead/overhead-scenario.js";
 import { overloadScenario } from "./overload/overload-scenario.js";
 import { rolling } from "./rolling.js";
 import type { Scenario } from "./scenario.js";
@@ -22,5 +23,6 @@
     controlScenario,
     transportScenario,
     overloadScenario,
+    overheadScenario,
     hangScenario,
 ];
--- a/packages/testbed/src/standin/backend-server.ts
+++ b/packages/testbed/src/standin/backend-server.ts
@@ -22,8 +22,8 @@
     mode: z.enum(["normal", "hang", "truncate", "unframed"]).default("normal"),
     /** Bytes of each answer besides its description. */
     answerBytes: z.number().int().min(0).default(0),
-    /** `brief` leaves the headers out, for runs with much load. */
-    records: z.enum(["full", "brief"]).default("full"),
+    /** `brief` leaves the headers out and `none` the records, for runs with much load. */
+    records: z.enum(["full", "brief", "none"]).default("full"),
 });
 
 /** How a stand-in backend server behaves; see {@link backendBehaviourSchema}. */
@@ -110,7 +110,9 @@
                 return;
             }
             const received = await countBytes(request);
-            await sleep(this.behaviour.serviceMs, undefined, { signal: cancelled.signal });
+            if (this.behaviour.serviceMs > 0) {
+                await sleep(this.behaviour.serviceMs, undefined, { signal: cancelled.signal });
+            }
             const status = await this.callOnward(request, cancelled.signal);
             this.answer(request, response, status, received);
             this.record("end", request);
@@ -176,6 +178,9 @@
     }
 
     private record(event: RunRecord["event"], request: IncomingMessage): void {
+        if (this.behaviour.records === "none") {
+            return;
+        }
         const record: RunRecord = {
             event,
             host: this.options.host,
