--- a/packages/daemon/src/process/node.ts
+++ b/packages/daemon/src/process/node.ts
@@ -1,92 +1,28 @@
 /**
  * One node: its parts, its listeners, and how it starts and stops.
  */
-import {
-    AuditTrail,
-    ConcurrencyLimiter,
-    EntryAdmission,
-    IdempotencyTable,
-    LoadBalancer,
-    OutcomeLedger,
-    PauseWatch,
-    Quarantine,
-    SeatAuthority,
-    SeatDirectory,
-    SeatLayouts,
-    SystemClock,
-} from "@radishrouter/core";
-import type {
-    Clock,
-    ConfigurationVersion,
-    HostList,
-    MembershipView,
-    NodeStatus,
-    RateLimiter,
-} from "@radishrouter/core";
+import type { AuditTrail, ConfigurationVersion, NodeStatus } from "@radishrouter/core";
 import type { Server } from "node:http";
 import type { Http2Server } from "node:http2";
 import { createBackendServer } from "../connection/backend-listener.js";
 import { createCallerServer } from "../connection/caller-listener.js";
-import type { ControlChannels } from "../connection/control-channels.js";
 import { createForwardServer } from "../connection/forward-listener.js";
 import { closeGracefully, listen } from "../connection/http-server.js";
 import { createOperatorsServer } from "../connection/operators-listener.js";
-import type { ConfigurationStore } from "../version/configuration-store.js";
-import { BackendRunner } from "./backend-runner.js";
-import { BackendSilence } from "./backend-silence.js";
-import { CrashWatch } from "./crash-watch.js";
-import { DeploymentProof } from "./deployment-proof.js";
-import { DrainState } from "./drain-state.js";
-import { FleetState } from "./fleet-state.js";
-import { HandleTable } from "./handle-table.js";
-import { KeyedDispatcher } from "./keyed-dispatcher.js";
 import { collectMetrics, MetricsSender } from "./metrics.js";
 import type { MetricsSources } from "./metrics.js";
-import { createRateLimiter } from "./node-rate-limiter.js";
-import { OpenRequests } from "./open-requests.js";
-import { PeerForwarder } from "./peer-forwarder.js";
+import { createNodeParts } from "./node-parts.js";
+import type { NodeParts } from "./node-parts.js";
 import { isInForce } from "./policy.js";
-import type { PolicyName } from "./policy.js";
-import { RequestDispatcher } from "./request-dispatcher.js";
-import { ServerConnections } from "./server-connections.js";
 import type { Settings } from "./settings.js";
 
 /** Time for the last control messages to go out at a planned stop. */
 const CONTROL_FLUSH_MS = 150;
-const SLOTS_WITHOUT_CONFIGURATION = 1;
-const CONNECTIONS_WITHOUT_CONFIGURATION = 1;
 const WEIGHT_WITHOUT_RATE = 1;
 
 /** Time for which a node that is to stop takes new work while it tells senders to go elsewhere. */
 const DRAIN_MS = 1_500;
 
-const QUARANTINE_OPTIONS = { expiryMs: 600_000, maximumEntries: 4_096 };
-
-/** The coordination parts of a node, which live as long as its process. */
-interface NodeParts {
-    readonly clock: Clock;
-    readonly audit: AuditTrail;
-    readonly ledger: OutcomeLedger;
-    readonly store: ConfigurationStore;
-    readonly membership: MembershipView;
-    readonly rateLimiter: RateLimiter;
-    readonly limiter: ConcurrencyLimiter;
-    readonly fleetState: FleetState;
-    readonly connections: ServerConnections;
-    readonly entryAdmission: EntryAdmission | undefined;
-    readonly channels: ControlChannels;
-    readonly forwarder: PeerForwarder;
-    readonly dispatcher: KeyedDispatcher;
-    readonly seats: SeatDirectory;
-    readonly drain: DrainState;
-    readonly pauses: PauseWatch;
-    readonly authority: SeatAuthority;
-    readonly runner: BackendRunner;
-    readonly handles: HandleTable;
-    readonly proof: DeploymentProof;
-    readonly openRequests: OpenRequests;
-}
-
 /** A running node. */
 export class Node {
     private readonly startedAt = new Date();
@@ -97,7 +33,7 @@
     private constructor(private readonly settings: Settings, private readonly parts: NodeParts) {}
 
     static create(settings: Settings): Node {
-        return new Node(settings, createParts(settings));
+        return new Node(settings, createNodeParts(settings));
     }
 
     /** Audit trail, for writing it to a log. */
@@ -205,123 +141,3 @@
         this.parts.limiter.setWeights(name => organisations[name]?.rate ?? WEIGHT_WITHOUT_RATE);
     }
 }
-
-function createParts(settings: Settings): NodeParts {
-    const clock = SystemClock.create();
-    const audit = AuditTrail.create();
-    const inForce = (name: PolicyName) => isInForce(settings.policy, name);
-    const limiter = ConcurrencyLimiter.create(clock, {
-        slots: SLOTS_WITHOUT_CONFIGURATION,
-        adaptive: inForce("adaptive-limit"),
-        fair: inForce("fair-queue"),
-        unlimited: !inForce("concurrency-limit"),
-    });
-    const handles = HandleTable.create();
-    const proof = DeploymentProof.create(settings.deploymentSecret);
-    const incarnation = BigInt(Date.now());
-    const identity = { ownName: settings.host, ownAddress: settings.address };
-    const seats = SeatDirectory.create();
-    const onHostList = (list: HostList) => seats.setPlatformList(list);
-    const fleetState = FleetState.create({ clock, audit, proof, settings, incarnation, onHostList });
-    const { membership, store, channels } = fleetState;
-    const drain = DrainState.create();
-    const forwarder = PeerForwarder.create({
-        clock,
-        proof,
-        ...identity,
-        onDraining: host => membership.markLeaving(host, "its answer"),
-    });
-    const connections = ServerConnections.create({
-        ...settings.backendServer,
-        connections: CONNECTIONS_WITHOUT_CONFIGURATION,
-        localAddress: settings.address,
-    });
-    const silence = BackendSilence.create(clock, () => connections.renew());
-    const balancer = LoadBalancer.create(clock, { blind: !inForce("load-balancing") });
-    const ownService = settings.service;
-    const crashes = CrashWatch.create({
-        clock,
-        quarantine: Quarantine.create(clock, QUARANTINE_OPTIONS),
-        transport: channels,
-        ownName: settings.host,
-        incarnation,
-        backendServer: settings.backendServer,
-        servicePeers: () => membership.livePeersOf(settings.service),
-    });
-    const runner = BackendRunner.create({
-        clock,
-        ownService,
-        limiter,
-        handles,
-        connections,
-        silence,
-        crashes,
-        balancer,
-        ...identity,
-    });
-    const unkeyed = RequestDispatcher.create({
-        clock,
-        drain,
-        ownName: settings.host,
-        ownService,
-        location: settings,
-        membership,
-        balancer,
-        runner,
-        forwarder,
-        hasLocalRoom: () => limiter.load().inFlight < limiter.load().limit || !inForce("concurrency-limit"),
-        sharesRetries: inForce("shared-retries"),
-    });
-    const { failureDomain, seat, limits } = settings;
-    const layouts = SeatLayouts.create(clock, { retentionMs: settings.limits.idempotencyKeyMs });
-    store.events.on("inForce", ({ configuration }) => layouts.setFailureDomains(configuration.failureDomains));
-    const authority = SeatAuthority.create({
-        addedRemainingMs: (name, number) => layouts.addedRemainingMs(name, number),
-        clock,
-        transport: channels,
-        failureDomain,
-        seat,
-        incarnation,
-        retentionMs: limits.idempotencyKeyMs,
-        livePeers: () => seats.isKnown ? membership.livePeers() : undefined,
-    });
-    const dispatcher = KeyedDispatcher.create({
-        clock,
-        dispatcher: unkeyed,
-        forwarder,
-        authority,
-        seats,
-        table: IdempotencyTable.create(clock, {
-            retentionMs: limits.idempotencyKeyMs,
-            maximumKeys: limits.idempotencyKeys,
-            maximumAnswerBytes: limits.idempotencyAnswerBytes,
-        }),
-        findHost: name => membership.find(name),
-        layouts,
-        identity: { host: settings.host, incarnation, failureDomain, seat },
-        issuedKeyMs: limits.idempotencyKeyMs,
-    });
-    return {
-        clock,
-        audit,
-        ledger: OutcomeLedger.create(),
-        store,
-        membership,
-        rateLimiter: createRateLimiter({ settings, clock, transport: channels, audit, incarnation, membership }),
-        limiter,
-        fleetState,
-        connections,
-        entryAdmission: inForce("chain-feedback") ? EntryAdmission.create(clock) : undefined,
-        channels,
-        seats,
-        drain,
-        pauses: PauseWatch.create(clock),
-        authority,
-        forwarder,
-        dispatcher,
-        runner,
-        handles,
-        proof,
-        openRequests: OpenRequests.create(),
-    };
-}
