Grant tokens ahead while there are many, and keep stocks small while there are few

Cause: entry nodes ran out of tokens between two grants, so that requests waited for the next one although the burst was hardly used; and nodes with little demand kept tokens of small bursts from requests that waited elsewhere.

Change: the collector gives each node up to an eighth of its free tokens ahead, which live on over short idle times; stocks hold at most half of a small burst, and waiting requests come first. A test names the requests that wait for the tokens it asks for, and is as strict as before.

--- a/packages/core/src/process/rate-share/demand-board.ts
+++ b/packages/core/src/process/rate-share/demand-board.ts
@@ -68,6 +68,14 @@
         return this.ofFailureDomain(organisation) + this.sum(this.organisations.get(organisation)?.collectors);
     }
 
+    /** Nodes of the own failure domain where an organisation's requests enter, this one included; at least 1. */
+    entryNodes(organisation: string): number {
+        const nowMs = this.clock.nowMs();
+        const entries = this.organisations.get(organisation)?.entries.values() ?? [];
+        const others = [...entries].filter(report => report.endsMs > nowMs && report.perSecond > 0).length;
+        return Math.max(1, others + (this.ofNode(organisation) > 0 ? 1 : 0));
+    }
+
     /** Organisations that anything was heard of. */
     names(): string[] {
         return [...this.organisations.keys()];
--- a/packages/core/src/process/rate-share/entry-stock.ts
+++ b/packages/core/src/process/rate-share/entry-stock.ts
@@ -32,6 +32,8 @@
     private batches: Batch[] = [];
     readonly waiters: GrantWaiter[] = [];
     word: CollectorWord | undefined;
+    /** Time of the last request. */
+    usedMs = -Infinity;
     /** Time since which the collector has not answered; undefined while it answers. */
     unansweredSinceMs: number | undefined;
 
--- a/packages/core/src/process/rate-share/grant-client.ts
+++ b/packages/core/src/process/rate-share/grant-client.ts
@@ -11,6 +11,7 @@
 import { ownClaim } from "./share-context.js";
 import type { ShareContext } from "./share-context.js";
 import { rangeOf } from "./share-range.js";
+import { STOCK_MS } from "./share-timings.js";
 
 interface PendingAsk {
     readonly collector: string;
@@ -18,12 +19,14 @@
     readonly demands: readonly GrantDemand[];
 }
 
-/** A stock is sized for the demand of this time. */
-const STOCK_MS = 200;
 /** Below this demand per second nothing is kept ahead. */
 const MINIMUM_DEMAND_PER_SECOND = 0.2;
 /** Tokens that are kept ahead besides those for the measured demand. */
 const SPARE_TOKENS = 1;
+/** Least stock that is kept while an organisation sends nothing for a while; smaller ones are left to others. */
+const KEPT_TOKENS = 16;
+/** Time without requests for which a large stock is kept. */
+const KEPT_MS = 10_000;
 const MAXIMUM_WAITERS = 256;
 const RETRY_SILENT_MS = 1_000;
 
@@ -44,6 +47,7 @@
     acquire(organisation: string, collector: string): RateDecision | Promise<RateDecision> {
         const nowMs = this.context.clock.nowMs();
         const stock = this.stockOf(organisation);
+        stock.usedMs = nowMs;
         if (stock.waiters.length === 0 && stock.tryTake(nowMs)) {
             return { kind: "admitted" };
         }
@@ -92,9 +96,8 @@
         this.processed.set(received.sender, answer.requestId);
         const endsMs = ask.sentMs + this.context.timings.grantMs;
         for (const grant of answer.grants) {
-            const wanted = ask.demands.find(demand => demand.organisation === grant.organisation);
-            if (wanted) {
-                this.takeGrant(grant, wanted, received.sender, endsMs);
+            if (ask.demands.some(demand => demand.organisation === grant.organisation)) {
+                this.takeGrant(grant, received.sender, endsMs);
             }
         }
     }
@@ -120,7 +123,7 @@
         }
     }
 
-    private takeGrant(grant: Grant, wanted: GrantDemand, collector: string, endsMs: number): void {
+    private takeGrant(grant: Grant, collector: string, endsMs: number): void {
         const nowMs = this.context.clock.nowMs();
         const stock = this.stockOf(grant.organisation);
         stock.extend(collector, grant.extended, endsMs, nowMs);
@@ -128,7 +131,7 @@
         stock.unansweredSinceMs = undefined;
         stock.word = {
             heardMs: nowMs,
-            short: grant.tokens < wanted.tokens,
+            short: grant.short,
             collecting: grant.collecting,
             retryAfterMs: grant.retryAfterMs,
             demandPerSecond: grant.demandPerSecond,
@@ -205,7 +208,8 @@
             if (this.collectorOf(organisation) === collector && this.isActive(stock, demandPerSecond)) {
                 const tokens = this.wantedTokens(organisation, stock);
                 const held = stock.heldFrom(collector, nowMs);
-                demands.push(create(GrantDemandSchema, { organisation, tokens, held, demandPerSecond }));
+                const waiting = stock.waiters.length;
+                demands.push(create(GrantDemandSchema, { organisation, tokens, held, demandPerSecond, waiting }));
                 stock.unansweredSinceMs ??= nowMs;
             }
         }
@@ -223,7 +227,9 @@
     }
 
     private isActive(stock: EntryStock, demandPerSecond: number): boolean {
-        return demandPerSecond >= MINIMUM_DEMAND_PER_SECOND || stock.waiters.length > 0;
+        const nowMs = this.context.clock.nowMs();
+        const isKept = nowMs - stock.usedMs < KEPT_MS && stock.goodAt(nowMs) >= KEPT_TOKENS;
+        return demandPerSecond >= MINIMUM_DEMAND_PER_SECOND || stock.waiters.length > 0 || isKept;
     }
 
     private wantedTokens(organisation: string, stock: EntryStock): number {
--- a/packages/core/src/process/rate-share/grant-server.ts
+++ b/packages/core/src/process/rate-share/grant-server.ts
@@ -7,13 +7,17 @@
 import type { ReceivedMessage } from "../../connection/control-transport.js";
 import { isCollector } from "./share-context.js";
 import type { ShareContext } from "./share-context.js";
-import { lenderDurationMs } from "./share-timings.js";
+import { lenderDurationMs, STOCK_MS } from "./share-timings.js";
 
 interface LastRequest {
     readonly incarnation: bigint;
     readonly requestId: bigint;
 }
 
+/** Part of the burst that the stocks of all entry nodes may hold together beyond the demand of a moment. */
+const STOCK_FRACTION = 0.5;
+/** Part of the free tokens that one entry node may hold ahead of its demand. */
+const AHEAD_FRACTION = 0.125;
 const MINIMUM_RETRY_MS = 200;
 const MAXIMUM_RETRY_MS = 10_000;
 
@@ -75,7 +79,8 @@
         const endsMs = nowMs + lenderDurationMs(timings, request.durationMs);
         const fraction = state.fractionOver(share, nowMs, nowMs);
         const extended = share.pool.extend(entry, endsMs, fraction, state.limitsOf(organisation)!);
-        const tokens = Math.min(wanted.tokens, share.pool.available);
+        const limits = state.limitsOf(organisation)!;
+        const tokens = this.chooseTokens(share.pool.available, fraction * limits.burst, wanted);
         if (tokens > 0) {
             share.pool.grant(entry, request.requestId, tokens, endsMs);
         }
@@ -85,8 +90,23 @@
             tokens,
             extended,
             collecting: true,
-            retryAfterMs: retryAfterMs(demandPerSecond, state.limitsOf(organisation)!.ratePerSecond),
+            short: share.pool.available < wanted.tokens - tokens,
+            retryAfterMs: retryAfterMs(demandPerSecond, limits.ratePerSecond),
             demandPerSecond,
         });
     }
+
+    /**
+     * Tokens for one entry node. Stocks take at most half of the burst as long as others may need it, so that a node
+     * with little demand does not keep tokens from requests that wait elsewhere; of many free tokens each node gets
+     * some ahead, so that it need not wait for the next grant.
+     */
+    private chooseTokens(available: number, capacity: number, wanted: GrantDemand): number {
+        const { demand } = this.context;
+        const sharedStock = Math.floor(capacity * STOCK_FRACTION / demand.entryNodes(wanted.organisation));
+        const ownStock = Math.floor(wanted.demandPerSecond * STOCK_MS / 1000);
+        const room = Math.max(0, Math.max(sharedStock, ownStock) - wanted.held);
+        const ahead = Math.floor(available * AHEAD_FRACTION) - wanted.held;
+        return Math.min(available, Math.max(Math.min(wanted.tokens, room + wanted.waiting), ahead));
+    }
 }
--- a/packages/core/src/process/rate-share/share-timings.ts
+++ b/packages/core/src/process/rate-share/share-timings.ts
@@ -24,6 +24,9 @@
     readonly driftFraction: number;
 }
 
+/** The stock of an entry node is sized for the demand of this time, in milliseconds. */
+export const STOCK_MS = 200;
+
 /** Durations in use unless a test sets others. */
 export const defaultShareTimings: ShareTimings = {
     tickMs: 100,
--- a/packages/core/src/test/share-messages.test.ts
+++ b/packages/core/src/test/share-messages.test.ts
@@ -123,7 +123,12 @@
 }
 
 function grantRequest(requestId: bigint, tokens: number): ControlMessage["body"] {
-    const demands = [create(GrantDemandSchema, { organisation: ownOrganisation, tokens, demandPerSecond: 1 })];
+    const demands = [create(GrantDemandSchema, {
+        organisation: ownOrganisation,
+        tokens,
+        waiting: tokens,
+        demandPerSecond: 1,
+    })];
     return {
         case: "grantRequest",
         value: create(GrantRequestSchema, { requestId, claim, demands, durationMs: grantMs }),
