Say unknown when an earlier attempt may have run, and give slow hosts more time

Cause: a run of all tests found reads that were said not to have run and had run once: their first attempt was given up on as hanging, the second refused, and the refusal's not-run was passed on. The attempts were given up on since 300 ms of silence counted as hanging while the backend servers took 400 ms.

Change: the dispatcher turns the last refusal into unknown when an attempt before it may have run. Silence counts as hanging from 600 ms on, and a host that hangs is probed each 4 s.

--- a/packages/core/src/process/observed-host.ts
+++ b/packages/core/src/process/observed-host.ts
@@ -9,10 +9,10 @@
 /** Time for which a load that a host told is believed. */
 const LOAD_VALID_MS = 250;
 /** Silence that is never taken for hanging, for the host itself and each call below it, beside the latency. */
-const SILENCE_AT_LEAST_MS = 300;
+const SILENCE_AT_LEAST_MS = 600;
 const SILENCE_LATENCY_RATIO = 4;
 const CALLS_BELOW_FADE = 0.95;
-const PROBE_INTERVAL_MS = 1_000;
+const PROBE_INTERVAL_MS = 4_000;
 /** Time over which a new or returned host goes from a small part of its share to the whole. */
 const RAMP_UP_MS = 5_000;
 const RAMP_UP_START = 0.1;
--- a/packages/daemon/src/process/request-dispatcher.ts
+++ b/packages/daemon/src/process/request-dispatcher.ts
@@ -1,7 +1,15 @@
 /**
  * Decides where a request runs, and whether it is sent again.
  */
-import type { Clock, Host, LoadBalancer, MembershipView, OpenSend, SenderLocation } from "@radishrouter/core";
+import type {
+    Clock,
+    Host,
+    LoadBalancer,
+    MembershipView,
+    OpenSend,
+    ResultName,
+    SenderLocation,
+} from "@radishrouter/core";
 import { RequestError, RetryBudget } from "@radishrouter/core";
 import { AttemptLifetime } from "../request/attempt-lifetime.js";
 import { toRequestError } from "../request/problem-document.js";
@@ -34,7 +42,7 @@
 
 const LOCAL_NAME = "";
 /** Shortest time that an attempt on the local backend server gets. */
-const LOCAL_ATTEMPT_MS = 300;
+const LOCAL_ATTEMPT_MS = 600;
 /** Hosts that one request may find without a backend server before its retries are used. */
 const MAXIMUM_FREE_HOSTS = 3;
 /** Backend servers that one request may lose; after that it is not sent again, since it may crash them. */
@@ -58,13 +66,14 @@
         const hopBudget = RetryBudget.create(context.matched.service.retryBudget);
         const budget = this.parts.sharesRetries ? context.retryBudget : hopBudget;
         let isRepeat = this.parts.sharesRetries && context.isRepeat;
+        let mayHaveRun = false;
         if (isRepeat && !budget.trySpend()) {
             throw RequestError.create("retries-exhausted");
         }
         for (;;) {
-            const target = this.choose(context, tried);
-            tried.add(target.kind === "local" ? LOCAL_NAME : target.host.name);
             try {
+                const target = this.choose(context, tried);
+                tried.add(target.kind === "local" ? LOCAL_NAME : target.host.name);
                 const answer = await this.send(target, { ...context, isRepeat }, body, budget);
                 const isLast = this.parts.sharesRetries || answer.status < 500 ||
                     !this.mayRepeat(context, body, tried) || !budget.trySpend();
@@ -75,9 +84,10 @@
             }
             catch (error) {
                 const failure = toRequestError(error);
+                mayHaveRun ||= failure.execution === "unknown";
                 const mayBeSent = this.maySendAgain(failure, context, body, tried);
                 if (!mayBeSent || !(isFree(failure, tried) || budget.trySpend())) {
-                    throw failure;
+                    throw mayHaveRun ? asUnknown(failure) : failure;
                 }
                 isRepeat ||= this.parts.sharesRetries && failure.execution === "unknown";
             }
@@ -238,3 +248,9 @@
     const reachedNone = failure.result.name === "no-backend-server" || failure.result.name === "node-stopping";
     return reachedNone && failure.execution === "not-run" && tried.size <= MAXIMUM_FREE_HOSTS;
 }
+
+/** The failure of a request of which an earlier attempt may have run. */
+function asUnknown(failure: RequestError): RequestError {
+    const { retryAfterMs, message: detail } = failure;
+    return RequestError.create(failure.result.name as ResultName, { detail, execution: "unknown", retryAfterMs });
+}
