Count no slow caller as silence of a host, and use hosts again that hung

Besides, only idempotent requests are probes, so a service without them would never have been used again.

Change: the time that a caller takes to send a streamed body is taken out; a host that hung and has nothing open is tried again after 10 s.

--- a/packages/core/src/process/observed-host.ts
+++ b/packages/core/src/process/observed-host.ts
@@ -12,6 +12,8 @@
 const SILENCE_AT_LEAST_MS = 600;
 const SILENCE_LATENCY_RATIO = 4;
 const CALLS_BELOW_FADE = 0.95;
+/** Time after which a host that hung and has nothing open is tried again by any request. */
+const SILENT_VALID_MS = 10_000;
 const PROBE_INTERVAL_MS = 4_000;
 /** Time over which a new or returned host goes from a small part of its share to the whole. */
 const RAMP_UP_MS = 5_000;
@@ -38,6 +40,7 @@
     private lastProbeMs = -Infinity;
     private rampStartMs: number;
     private silent = false;
+    private silentAtMs = -Infinity;
 
     private constructor(private readonly clock: Clock) {
         this.lastAnswerMs = clock.nowMs();
@@ -83,7 +86,14 @@
         const oldestMs = this.open.values().next().value;
         if (oldestMs !== undefined) {
             const silentSinceMs = Math.max(oldestMs, this.lastAnswerMs);
-            this.silent ||= this.clock.nowMs() - silentSinceMs > this.allowedSilenceMs();
+            if (this.clock.nowMs() - silentSinceMs > this.allowedSilenceMs()) {
+                this.silent = true;
+                this.silentAtMs = this.clock.nowMs();
+            }
+        }
+        else if (this.silent && this.clock.nowMs() - this.silentAtMs > SILENT_VALID_MS) {
+            this.silent = false;
+            this.rampStartMs = this.clock.nowMs();
         }
         return this.silent;
     }
--- a/packages/daemon/src/process/backend-runner.ts
+++ b/packages/daemon/src/process/backend-runner.ts
@@ -7,7 +7,7 @@
 import { HANDLE_HEADER } from "../request/header-names.js";
 import { OnwardTime } from "../request/onward-time.js";
 import { toRequestError } from "../request/problem-document.js";
-import { bodyContent } from "../request/request-body.js";
+import { bodyContent, pauseWhileSending } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
 import { routeNameOf } from "../request/request-context.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
@@ -66,6 +66,7 @@
     private async runAdmitted(context: RequestContext, body: RequestBody, watched: WatchedRun): Promise<Answer> {
         const permit = await this.acquire(context);
         const open = this.parts.balancer.start(this.parts.ownName);
+        pauseWhileSending(open, body);
         const onwardTime = OnwardTime.create(this.parts.clock, open);
         const handle = this.parts.handles.issue({ context, onwardTime });
         const end = (outcome: RunOutcome) => {
--- a/packages/daemon/src/process/request-dispatcher.ts
+++ b/packages/daemon/src/process/request-dispatcher.ts
@@ -13,6 +13,7 @@
 import { RequestError, RetryBudget } from "@radishrouter/core";
 import { AttemptLifetime } from "../request/attempt-lifetime.js";
 import { toRequestError } from "../request/problem-document.js";
+import { pauseWhileSending } from "../request/request-body.js";
 import type { RequestBody } from "../request/request-body.js";
 import type { Answer, RequestContext } from "../request/request-context.js";
 import type { BackendRunner } from "./backend-runner.js";
@@ -131,6 +132,7 @@
                 return this.runHere(context, body, budget);
             case "peer": {
                 const open = this.parts.balancer.start(target.host.name);
+                pauseWhileSending(open, body);
                 return this.forward(target.host, open, context, body, budget);
             }
         }
