Compute what stood twice once: proofs of peers, limits, cells of the report

Cause: a read of the whole change. Checking a peer computed its proof anew for each forwarded request beside the cached one; a grant looked up the limits twice; the report's table and page listed the same cells. Change: a proof that was right once is kept, limits are looked up once, and outcomeCells serves table and page. Behaviour stays.

--- a/packages/cli/src/report/report-page.ts
+++ b/packages/cli/src/report/report-page.ts
@@ -9,7 +9,7 @@
 import type { FleetReport, OrganisationReport } from "./fleet-report.js";
 import { sumCounters } from "./outcome-sums.js";
 import { pageStyle } from "./page-style.js";
-import { describeReport, formatCodes, formatShare } from "./report-table.js";
+import { describeReport, formatCodes, outcomeCells } from "./report-table.js";
 
 const entities: Readonly<Record<string, string>> = {
     "&": "&amp;",
@@ -120,21 +120,7 @@
         "received",
         "fair share",
     ];
-    const rows = report.organisations.map(row =>
-        createRow([
-            row.organisation,
-            row.rate ?? "-",
-            row.offered,
-            row.completed,
-            row.delayed,
-            sumCounters(row.refused),
-            row.refusedWithinRate,
-            sumCounters(row.failed),
-            sumCounters(row.unknown),
-            formatShare(row.receivedShare),
-            formatShare(row.fairShare),
-        ])
-    );
+    const rows = report.organisations.map(row => createRow([row.organisation, row.rate ?? "-", ...outcomeCells(row)]));
     return wrapTable(head, rows);
 }
 
--- a/packages/cli/src/report/report-table.ts
+++ b/packages/cli/src/report/report-table.ts
@@ -41,8 +41,12 @@
 }
 
 function toRow(row: OrganisationReport): (string | number)[] {
+    return [row.organisation, ...outcomeCells(row), formatCodes({ ...row.refused, ...row.unknown })];
+}
+
+/** Cells that the table and the page show alike: counts by outcome, and the shares. */
+export function outcomeCells(row: OrganisationReport): (string | number)[] {
     return [
-        row.organisation,
         row.offered,
         row.completed,
         row.delayed,
@@ -52,7 +56,6 @@
         sumCounters(row.unknown),
         formatShare(row.receivedShare),
         formatShare(row.fairShare),
-        formatCodes({ ...row.refused, ...row.unknown }),
     ];
 }
 
--- a/packages/core/src/process/rate-share/grant-server.ts
+++ b/packages/core/src/process/rate-share/grant-server.ts
@@ -78,8 +78,8 @@
         const nowMs = clock.nowMs();
         const endsMs = nowMs + lenderDurationMs(timings, request.durationMs);
         const fraction = state.fractionOver(share, nowMs, nowMs);
-        const extended = share.pool.extend(entry, endsMs, fraction, state.limitsOf(organisation)!);
         const limits = state.limitsOf(organisation)!;
+        const extended = share.pool.extend(entry, endsMs, fraction, limits);
         const tokens = this.chooseTokens(share.pool.available, fraction * limits.burst, wanted);
         if (tokens > 0) {
             share.pool.grant(entry, request.requestId, tokens, endsMs);
--- a/packages/daemon/src/process/deployment-proof.ts
+++ b/packages/daemon/src/process/deployment-proof.ts
@@ -17,7 +17,7 @@
     proofOf(host: string): Buffer {
         let proof = this.proofs.get(host);
         if (!proof) {
-            proof = createHmac("sha256", this.secret).update(host).digest();
+            proof = this.compute(host);
             this.proofs.set(host, proof);
         }
         return proof;
@@ -25,7 +25,16 @@
 
     /** Whether a proof is that of a host. */
     verify(host: string, proof: Uint8Array): boolean {
-        const expected = createHmac("sha256", this.secret).update(host).digest();
-        return proof.length === expected.length && timingSafeEqual(expected, proof);
+        const expected = this.proofs.get(host) ?? this.compute(host);
+        const isValid = proof.length === expected.length && timingSafeEqual(expected, proof);
+        if (isValid) {
+            // Only proofs of nodes are kept, so that strangers cannot fill the memory with names.
+            this.proofs.set(host, expected);
+        }
+        return isValid;
+    }
+
+    private compute(host: string): Buffer {
+        return createHmac("sha256", this.secret).update(host).digest();
     }
 }
