Run a node on the users' platform: request path, adapter, deploy file

Cause: the product had no way to run where services, operators and hosts talk by the platform's protocol; its own request path follows chains by handles and keys by seats, which plain requests there do not carry.

Change: packages/mesh has the request path of a node whose configuration and hosts are handed in: routes by longest prefix, weighted split, lease on the configuration, gate beside the backend server, placement, allowance for repeats, quota, bounded log, metrics. platform/ translates settings, store and headers.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,10 +2,10 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "packages/protocol/src/generated/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**", "packages/protocol/src/generated/**"] },
     ...tseslint.configs.recommended,
     {
-        files: ["packages/*/src/**/*.ts"],
+        files: ["packages/*/src/**/*.ts", "platform/src/**/*.ts"],
         languageOptions: {
             parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
         },
@@ -35,7 +35,7 @@
         },
     },
     {
-        files: ["packages/*/src/test/**/*.ts"],
+        files: ["packages/*/src/test/**/*.ts", "platform/src/test/**/*.ts"],
         rules: { "@typescript-eslint/no-floating-promises": "off", "jsdoc/require-jsdoc": "off" },
     },
 );
--- /dev/null
+++ b/packages/mesh/src/connection/http-exchange.ts
@@ -0,0 +1,231 @@
+/**
+ * One request to one server over HTTP/1.1, with its whole answer.
+ */
+import { connect as connectSocket } from "node:net";
+import type { Socket } from "node:net";
+import { Pool } from "undici";
+import type { Dispatcher } from "undici";
+import type { buildConnector } from "undici";
+
+/** Request as it goes on the wire. */
+export interface ExchangeRequest {
+    readonly method: string;
+    readonly path: string;
+    /** Names and values by turns. */
+    readonly headers: string[];
+    readonly body: Buffer | undefined;
+}
+
+/** Answer as it came from the wire; its body is complete. */
+export interface ExchangeResponse {
+    readonly status: number;
+    readonly headers: HeaderList;
+    readonly body: Buffer;
+}
+
+/** End of an exchange. `sent` is false only if no byte of the request can have reached the server. */
+export type ExchangeResult =
+    | { readonly kind: "answered"; readonly response: ExchangeResponse; }
+    | { readonly kind: "failed"; readonly sent: boolean; readonly reason: string; };
+
+/** Hooks into a running exchange. */
+export interface ExchangeObserver {
+    /** Called when the request is written to a connection. */
+    readonly onSent?: () => void;
+    /** Called for each informational answer. */
+    readonly onInformation?: () => void;
+}
+
+/** An exchange that runs. */
+export interface Exchange {
+    readonly result: Promise<ExchangeResult>;
+    /** Ends the exchange by closing its connection. */
+    abort(reason: string): void;
+}
+
+/** How connections are opened and kept. */
+export interface PoolOptions {
+    readonly hostAddress: string;
+    readonly port: number;
+    readonly maximumConnections: number;
+    readonly connectTimeoutMs: number;
+    /** Time for which an unused connection is kept. */
+    readonly idleMs: number;
+}
+
+const FIRST_FINAL_STATUS = 200;
+/** Answers are held whole until they are passed on; larger ones end with an error. */
+const MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
+
+/** Header fields in the order in which they came. */
+export class HeaderList {
+    private constructor(
+        /** Names and values by turns. */
+        readonly fields: readonly string[],
+    ) {}
+
+    static create(fields: readonly string[]): HeaderList {
+        return new HeaderList(fields);
+    }
+
+    /** First value of a header; the name is given in lower case. */
+    get(name: string): string | undefined {
+        for (let index = 0; index < this.fields.length; index += 2) {
+            const field = this.fields[index]!;
+            if (field.length === name.length && field.toLowerCase() === name) {
+                return this.fields[index + 1];
+            }
+        }
+        return undefined;
+    }
+}
+
+/** Connections to one server. */
+export class ExchangePool {
+    private readonly pool: Pool;
+
+    private constructor(options: PoolOptions) {
+        this.pool = new Pool(`http://${options.hostAddress}:${options.port}`, {
+            connections: options.maximumConnections,
+            pipelining: 1,
+            keepAliveTimeout: options.idleMs,
+            keepAliveMaxTimeout: options.idleMs,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            connect: createConnector(options),
+        });
+    }
+
+    static create(options: PoolOptions): ExchangePool {
+        return new ExchangePool(options);
+    }
+
+    /** Starts an exchange. */
+    start(request: ExchangeRequest, observer: ExchangeObserver = {}): Exchange {
+        const handler = new ExchangeHandler(observer);
+        try {
+            this.pool.dispatch(
+                {
+                    method: request.method as Dispatcher.HttpMethod,
+                    path: request.path,
+                    headers: request.headers,
+                    ...(request.body ? { body: request.body } : {}),
+                },
+                handler,
+            );
+        }
+        catch (error) {
+            handler.onError(error instanceof Error ? error : new Error(String(error)));
+        }
+        return { result: handler.result, abort: reason => handler.abort(reason) };
+    }
+
+    /** Closes all connections; exchanges that run fail. */
+    async destroy(): Promise<void> {
+        await this.pool.destroy();
+    }
+
+    /** Closes connections as their exchanges end. */
+    async close(): Promise<void> {
+        await this.pool.close();
+    }
+}
+
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+    readonly result: Promise<ExchangeResult>;
+    private settle: (result: ExchangeResult) => void = () => undefined;
+    private abortRequest: ((error?: Error) => void) | undefined;
+    private abortReason: string | undefined;
+    private sent = false;
+    private status = 0;
+    private fields: string[] = [];
+    private readonly chunks: Buffer[] = [];
+    private receivedBytes = 0;
+
+    constructor(private readonly observer: ExchangeObserver) {
+        this.result = new Promise(settle => {
+            this.settle = settle;
+        });
+    }
+
+    abort(reason: string): void {
+        this.abortReason ??= reason;
+        if (this.abortRequest) {
+            this.abortRequest(new Error(reason));
+        }
+        else {
+            this.settle({ kind: "failed", sent: false, reason });
+        }
+    }
+
+    onConnect(abort: (error?: Error) => void): void {
+        this.abortRequest = abort;
+        if (this.abortReason !== undefined) {
+            abort(new Error(this.abortReason));
+            return;
+        }
+        this.sent = true;
+        this.observer.onSent?.();
+    }
+
+    onHeaders(status: number, rawHeaders: Buffer[]): boolean {
+        if (status < FIRST_FINAL_STATUS) {
+            this.observer.onInformation?.();
+            return true;
+        }
+        this.status = status;
+        this.fields = rawHeaders.map(field => field.toString("latin1"));
+        return true;
+    }
+
+    onData(chunk: Buffer): boolean {
+        this.receivedBytes += chunk.length;
+        if (this.receivedBytes > MAXIMUM_ANSWER_BYTES) {
+            this.abort("the answer is larger than this node holds");
+            return true;
+        }
+        this.chunks.push(chunk);
+        return true;
+    }
+
+    onComplete(): void {
+        const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+        const response = { status: this.status, headers: HeaderList.create(this.fields), body };
+        this.settle({ kind: "answered", response });
+    }
+
+    onError(error: Error): void {
+        this.settle({ kind: "failed", sent: this.sent, reason: this.abortReason ?? error.message });
+    }
+}
+
+/** Opens connections with a time limit of its own, as the platform's links may swallow what is sent. */
+function createConnector(options: PoolOptions): buildConnector.connector {
+    return (_target, callback) => {
+        const socket = connectSocket({ host: options.hostAddress, port: options.port, noDelay: true });
+        const timer = setTimeout(
+            () => socket.destroy(new Error("the connection could not be opened in time")),
+            options.connectTimeoutMs,
+        );
+        const onError = (error: Error) => {
+            clearTimeout(timer);
+            callback(...toConnectFailure(error));
+        };
+        socket.once("error", onError);
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            socket.off("error", onError);
+            callback(...toConnected(socket));
+        });
+    };
+}
+
+/* eslint-disable no-restricted-syntax -- the callback of undici marks what is absent by null */
+function toConnectFailure(error: Error): [Error, null] {
+    return [error, null];
+}
+
+function toConnected(socket: Socket): [null, Socket] {
+    return [null, socket];
+}
+/* eslint-enable no-restricted-syntax */
--- /dev/null
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -0,0 +1,143 @@
+/**
+ * Requests that other nodes forward to the backend server on this host.
+ */
+import type { Clock } from "@radishrouter/core";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { LifeCycle } from "../process/life-cycle.js";
+import type { RequestLog } from "../process/request-log.js";
+import type { ServerGate } from "../process/server-gate.js";
+import { answerHeader, forwardHeader, passOn } from "../request/header-names.js";
+import type { HeaderNames } from "../request/header-names.js";
+import type { Outcome, Send } from "../request/outcome.js";
+import type { ServerRequest } from "../request/relayed-request.js";
+import { readBody } from "./message-body.js";
+import { formatLoad, PROBE_PATH, PROGRESS_MS } from "./peer-client.js";
+import type { ServerClient } from "./server-client.js";
+
+/** Parts that the listener works with. */
+export interface PeerServerParts {
+    readonly clock: Clock;
+    readonly server: ServerClient;
+    readonly gate: ServerGate;
+    readonly headerNames: HeaderNames;
+    readonly lifeCycle: LifeCycle;
+    readonly log: RequestLog;
+}
+
+const MAXIMUM_HEADER_BYTES = 65_536;
+const MAXIMUM_BODY_BYTES = 128 * 1024 * 1024;
+const IDLE_MS = 20_000;
+const NO_CONTENT_STATUS = 204;
+
+/** Creates the server for requests of other nodes. */
+export function createPeerServer(parts: PeerServerParts): Server {
+    const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, (request, response) => {
+        if (request.url === PROBE_PATH && request.headers[forwardHeader.route] === undefined) {
+            answerProbe(parts, response);
+            return;
+        }
+        void serve(parts, request, response);
+    });
+    server.keepAliveTimeout = IDLE_MS;
+    server.requestTimeout = 0;
+    return server;
+}
+
+function answerProbe(parts: PeerServerParts, response: ServerResponse): void {
+    response.writeHead(parts.lifeCycle.isStopping ? 503 : 200, ["content-length", "0"]);
+    response.end();
+}
+
+async function serve(parts: PeerServerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    parts.lifeCycle.begin();
+    let send: Send | undefined = undefined;
+    let isSenderGone = false;
+    const progress = setInterval(() => response.writeProcessing(), PROGRESS_MS);
+    response.once("close", () => {
+        parts.lifeCycle.end();
+        clearInterval(progress);
+        isSenderGone = !response.writableFinished;
+        if (isSenderGone) {
+            send?.abort("caller-gone");
+        }
+    });
+    const receivedAtMs = parts.clock.nowMs();
+    const body = await readBody(request, MAXIMUM_BODY_BYTES);
+    if (body.kind !== "whole" || isSenderGone) {
+        clearInterval(progress);
+        response.destroy();
+        return;
+    }
+    send = parts.server.send(readRequest(parts, request, body.body, receivedAtMs));
+    const outcome = await send.outcome;
+    clearInterval(progress);
+    if (!isSenderGone) {
+        write(parts, request, response, outcome);
+    }
+}
+
+function readRequest(
+    parts: PeerServerParts,
+    request: IncomingMessage,
+    body: Buffer | undefined,
+    receivedAtMs: number,
+): ServerRequest {
+    const { headers } = request;
+    return {
+        id: textOf(headers[parts.headerNames.attemptId]),
+        method: request.method ?? "GET",
+        target: request.url ?? "/",
+        headers: passOn(request.rawHeaders, () => false),
+        body,
+        routeName: textOf(headers[forwardHeader.route]),
+        priority: Number(textOf(headers[forwardHeader.priority])) || 0,
+        isOnwardCall: headers[forwardHeader.onwardCall] !== undefined,
+        giveUpAtMs: receivedAtMs + (Number(textOf(headers[forwardHeader.remainingMs])) || 0),
+        answerByMs: receivedAtMs + (Number(textOf(headers[forwardHeader.answerInMs])) || 0),
+        instance: textOf(headers[forwardHeader.instance]),
+    };
+}
+
+function textOf(value: string | string[] | undefined): string {
+    return typeof value === "string" ? value : "";
+}
+
+function write(parts: PeerServerParts, request: IncomingMessage, response: ServerResponse, outcome: Outcome): void {
+    const state = [answerHeader.load, formatLoad(parts.gate.load()), answerHeader.outcome, outcome.kind];
+    if (parts.lifeCycle.isStopping) {
+        state.push(answerHeader.stopping, "1", "connection", "close");
+    }
+    switch (outcome.kind) {
+        case "answered": {
+            const { status, headers, body } = outcome.response;
+            const fields = [...passOn(headers.fields, () => false), ...state, "content-length", String(body.length)];
+            response.writeHead(status, fields);
+            response.end(body);
+            return;
+        }
+        case "not-run":
+            logEnd(parts, request, outcome.reason);
+            state.push(answerHeader.reached, outcome.reached ? "1" : "0");
+            state.push(answerHeader.retryAfterMs, String(Math.round(outcome.retryAfterMs)));
+            break;
+        case "unknown":
+            logEnd(parts, request, `${outcome.reason}: ${outcome.detail}`);
+            break;
+    }
+    state.push(answerHeader.reason, outcome.reason);
+    response.writeHead(NO_CONTENT_STATUS, state);
+    response.end();
+}
+
+function logEnd(parts: PeerServerParts, request: IncomingMessage, reason: string): void {
+    const { open, waiting, limit } = parts.gate.load();
+    parts.log.decision("forwarded-request-not-answered", {
+        request: textOf(request.headers[parts.headerNames.attemptId]),
+        route: textOf(request.headers[forwardHeader.route]),
+        reason,
+        open,
+        waiting,
+        limit,
+    });
+}
--- /dev/null
+++ b/packages/mesh/src/connection/status-server.ts
@@ -0,0 +1,33 @@
+/**
+ * Readiness and metrics of a node.
+ */
+import { createServer } from "node:http";
+import type { Server } from "node:http";
+import type { MeshMetrics } from "../process/mesh-metrics.js";
+
+const OK_STATUS = 200;
+const UNAVAILABLE_STATUS = 503;
+const NOT_FOUND_STATUS = 404;
+const IDLE_MS = 30_000;
+
+/** Creates the server that says whether callers may send new work to this node. */
+export function createReadinessServer(path: string, isReady: () => boolean): Server {
+    const server = createServer((request, response) => {
+        const status = request.url !== path ? NOT_FOUND_STATUS : isReady() ? OK_STATUS : UNAVAILABLE_STATUS;
+        response.writeHead(status, ["content-length", "0"]);
+        response.end();
+    });
+    server.keepAliveTimeout = IDLE_MS;
+    return server;
+}
+
+/** Creates the server that gives out metrics. */
+export function createMetricsServer(path: string, metrics: MeshMetrics): Server {
+    return createServer((request, response) => {
+        if (request.url !== path) {
+            response.writeHead(NOT_FOUND_STATUS).end();
+            return;
+        }
+        void metrics.text().then(text => response.writeHead(OK_STATUS, { "content-type": "text/plain" }).end(text));
+    });
+}
--- /dev/null
+++ b/packages/mesh/src/index.ts
@@ -0,0 +1,18 @@
+/**
+ * The request path of a node whose configuration and hosts are handed in by the embedding program.
+ */
+export * from "./connection/http-exchange.js";
+export * from "./process/mesh-node.js";
+export * from "./process/organisation-quota.js";
+export * from "./process/peer-health.js";
+export * from "./process/placement.js";
+export * from "./process/request-log.js";
+export * from "./process/retry-allowance.js";
+export * from "./process/server-directory.js";
+export * from "./process/server-gate.js";
+export * from "./request/header-names.js";
+export * from "./version/configuration-lease.js";
+export * from "./version/mesh-configuration.js";
+export * from "./version/mesh-version.js";
+export * from "./version/route-table.js";
+export * from "./version/traffic-split.js";
--- /dev/null
+++ b/packages/mesh/src/process/mesh-metrics.ts
@@ -0,0 +1,87 @@
+/**
+ * Counters and latency histograms of a node, as text for scrapers.
+ */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { GateLoad } from "./server-gate.js";
+
+/** State that is read when metrics are asked for. */
+export interface MetricsSources {
+    readonly load: () => GateLoad;
+    readonly configurationVersion: () => number | undefined;
+    readonly proofAgeMs: () => number;
+    readonly knownServers: () => number;
+}
+
+const LATENCY_BUCKETS_MS = [5, 10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 6_400];
+
+/** Metrics of one node. */
+export class MeshMetrics {
+    private readonly registry = new Registry();
+    private readonly answers = new Counter({
+        name: "radishrouter_answers_total",
+        help: "Answers of backend servers that were passed on, by route and status",
+        labelNames: ["route", "status"],
+        registers: [this.registry],
+    });
+    private readonly failures = new Counter({
+        name: "radishrouter_failures_total",
+        help: "Requests that ended without the answer of a backend server, by route and result",
+        labelNames: ["route", "result"],
+        registers: [this.registry],
+    });
+    private readonly latency = new Histogram({
+        name: "radishrouter_request_milliseconds",
+        help: "Time from the request of a caller to its answer, by route",
+        labelNames: ["route"],
+        buckets: LATENCY_BUCKETS_MS,
+        registers: [this.registry],
+    });
+
+    private constructor(sources: MetricsSources) {
+        this.addGauge("radishrouter_open_requests", "Requests at the own backend server", () => sources.load().open);
+        this.addGauge("radishrouter_waiting_requests", "Requests that wait for a slot", () => sources.load().waiting);
+        this.addGauge("radishrouter_request_limit", "Requests let in at once", () => sources.load().limit);
+        this.addGauge(
+            "radishrouter_configuration_version",
+            "Configuration version in force; -1 without one",
+            () => sources.configurationVersion() ?? -1,
+        );
+        this.addGauge(
+            "radishrouter_configuration_proof_age_milliseconds",
+            "Time since the configuration in force was proved current",
+            sources.proofAgeMs,
+        );
+        this.addGauge("radishrouter_known_servers", "Backend servers in the list", sources.knownServers);
+    }
+
+    static create(sources: MetricsSources): MeshMetrics {
+        return new MeshMetrics(sources);
+    }
+
+    /** Counts an answer that was passed on. */
+    recordAnswer(route: string, status: number, elapsedMs: number): void {
+        this.answers.inc({ route, status });
+        this.latency.observe({ route }, elapsedMs);
+    }
+
+    /** Counts a request that ended without the answer of a backend server. */
+    recordFailure(route: string, result: string): void {
+        this.failures.inc({ route, result });
+    }
+
+    /** All metrics in the text format of Prometheus. */
+    async text(): Promise<string> {
+        return await this.registry.metrics();
+    }
+
+    private addGauge(name: string, help: string, read: () => number): void {
+        new Gauge({
+            name,
+            help,
+            registers: [this.registry],
+            collect() {
+                this.set(read());
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -0,0 +1,278 @@
+/**
+ * One node of a mesh: its parts, its listeners, how it starts and how it stops.
+ */
+import type { Clock } from "@radishrouter/core";
+import { SystemClock } from "@radishrouter/core";
+import type { Server } from "node:http";
+import { applyIdleLimit, createCallerServer } from "../connection/caller-server.js";
+import { PeerClient } from "../connection/peer-client.js";
+import { createPeerServer } from "../connection/peer-server.js";
+import { ServerClient } from "../connection/server-client.js";
+import { createMetricsServer, createReadinessServer } from "../connection/status-server.js";
+import type { HeaderNames } from "../request/header-names.js";
+import { ConfigurationLease } from "../version/configuration-lease.js";
+import type { MeshConfiguration } from "../version/mesh-configuration.js";
+import { MeshVersion } from "../version/mesh-version.js";
+import { TrafficSplit } from "../version/traffic-split.js";
+import { LifeCycle } from "./life-cycle.js";
+import { MeshMetrics } from "./mesh-metrics.js";
+import { OrganisationQuota } from "./organisation-quota.js";
+import { PeerHealth } from "./peer-health.js";
+import { Placement } from "./placement.js";
+import { RequestLog } from "./request-log.js";
+import { RetryAllowance } from "./retry-allowance.js";
+import type { RetryBounds } from "./retry-allowance.js";
+import { ServerDirectory } from "./server-directory.js";
+import type { DirectoryChange } from "./server-directory.js";
+import { ServerGate } from "./server-gate.js";
+
+/** Address that a node listens at. */
+export interface ListenAddress {
+    readonly address: string;
+    readonly port: number;
+}
+
+/** Settings of a node. */
+export interface MeshNodeSettings {
+    readonly host: string;
+    readonly hostAddress: string;
+    readonly failureDomain: string;
+    /** Service of the backend server on this host. */
+    readonly service: string;
+    readonly backendServer: ListenAddress;
+    readonly callers: ListenAddress;
+    readonly peers: ListenAddress;
+    readonly readiness: ListenAddress & { readonly path: string; };
+    readonly metrics: (ListenAddress & { readonly path: string; }) | undefined;
+    readonly headerNames: HeaderNames;
+    /** Time after which a withdrawn key must not be honoured; undefined where keys need no proof. */
+    readonly keyLeaseMs: number | undefined;
+    /** Time from the signal to stop to the forced end. */
+    readonly stopGraceMs: number;
+    /** Time for which a leaving backend server may still get requests. */
+    readonly drainMs: number;
+    readonly retryBounds: RetryBounds;
+    readonly log: { readonly decisionLinesPerSecond: number; readonly successSample: number; };
+}
+
+/** Part of the drain time for which the own backend server still gets what is on its way. */
+const DRAIN_PART = 0.6;
+/** Time for which callers and peers still send to a node that has said that it stops. */
+const STOP_NOTICE_MS = 2_800;
+/** Time before the forced end at which what still runs is given up. */
+const STOP_MARGIN_MS = 500;
+
+/** A running node. */
+export class MeshNode {
+    readonly lease: ConfigurationLease;
+    readonly directory: ServerDirectory;
+    readonly log: RequestLog;
+    private readonly lifeCycle = LifeCycle.create();
+    private readonly gate: ServerGate;
+    private readonly health: PeerHealth;
+    private readonly placement: Placement;
+    private readonly split = TrafficSplit.create();
+    private readonly quota: OrganisationQuota;
+    private readonly allowances = new Map<string, RetryAllowance>();
+    private readonly metrics: MeshMetrics;
+    private readonly server: ServerClient;
+    private readonly peers: PeerClient;
+    private version: MeshVersion | undefined;
+    private callerServer: Server | undefined;
+    private readonly listeners: Server[] = [];
+    private isOwnServerLeaving = false;
+
+    private constructor(private readonly settings: MeshNodeSettings, private readonly clock: Clock) {
+        this.log = RequestLog.create(clock, { host: settings.host, ...settings.log });
+        this.lease = ConfigurationLease.create(clock, settings.keyLeaseMs);
+        this.directory = ServerDirectory.create(clock);
+        this.gate = ServerGate.create(clock);
+        this.health = PeerHealth.create(clock);
+        this.placement = Placement.create(clock);
+        this.quota = OrganisationQuota.create(clock, () => this.nodeCount());
+        this.metrics = MeshMetrics.create({
+            load: () => this.gate.load(),
+            configurationVersion: () => this.version?.configuration.version,
+            proofAgeMs: () => this.lease.ageMs(),
+            knownServers: () => [...this.directory.all()].length,
+        });
+        this.server = this.createServerClient();
+        this.peers = PeerClient.create({
+            clock,
+            health: this.health,
+            peerPort: settings.peers.port,
+            onLoad: (server, load) => this.placement.report(server, load),
+        });
+    }
+
+    static create(settings: MeshNodeSettings, clock: Clock = SystemClock.create()): MeshNode {
+        return new MeshNode(settings, clock);
+    }
+
+    /** Version in force. */
+    get configurationVersion(): number | undefined {
+        return this.version?.configuration.version;
+    }
+
+    /** Starts all listeners. */
+    async start(): Promise<void> {
+        const { settings, log } = this;
+        log.event("process-started", { process: process.pid, service: settings.service });
+        this.directory.events.on("changed", change => this.onServerChange(change));
+        this.health.events.on(
+            "changed",
+            ({ address, trouble }) =>
+                log.event(trouble === undefined ? "peer-regained" : "peer-lost", { peer: address, trouble }),
+        );
+        await this.open(createPeerServer(this.peerServerParts()), settings.peers);
+        const readiness = createReadinessServer(settings.readiness.path, () => this.isReady());
+        await this.open(readiness, settings.readiness);
+        if (settings.metrics) {
+            await this.open(createMetricsServer(settings.metrics.path, this.metrics), settings.metrics);
+        }
+        this.callerServer = createCallerServer(this.callerServerParts());
+        await this.open(this.callerServer, settings.callers);
+    }
+
+    /** Puts a configuration in force if it is newer than the one in force. */
+    adopt(configuration: MeshConfiguration, cause: string): void {
+        const before = this.version?.configuration.version;
+        if (before !== undefined && configuration.version <= before) {
+            return;
+        }
+        this.version = MeshVersion.create(configuration);
+        this.split.retain(new Set(configuration.routes.map(route => route.name)));
+        if (this.callerServer) {
+            applyIdleLimit(this.callerServer, configuration.limits.idleTimeoutMs);
+        }
+        this.log.event("configuration-in-force", { version: configuration.version, before, cause });
+    }
+
+    /**
+     * Stops without cutting a request: says that it stops, serves what still comes, then closes its listeners and ends
+     * when the last request has ended, or shortly before the forced end.
+     */
+    async stop(cause: string): Promise<void> {
+        const { log, lifeCycle, settings, clock } = this;
+        log.event("process-stopping", { cause, open: lifeCycle.open });
+        lifeCycle.stop();
+        const limitMs = settings.stopGraceMs - STOP_MARGIN_MS;
+        const limit = this.delay(limitMs);
+        const stoppedAtMs = clock.nowMs();
+        await this.delay(Math.min(STOP_NOTICE_MS, limitMs));
+        this.listeners.forEach(listener => {
+            listener.close();
+            listener.closeIdleConnections();
+        });
+        await Promise.race([limit, lifeCycle.idle()]);
+        log.event("process-stopped", { open: lifeCycle.open, tookMs: Math.round(clock.nowMs() - stoppedAtMs) });
+        log.flush();
+    }
+
+    private isReady(): boolean {
+        return this.version !== undefined && this.directory.hasList && !this.lifeCycle.isStopping &&
+            this.lease.isValid();
+    }
+
+    private nodeCount(): number {
+        return Math.max(1, this.directory.hostCount);
+    }
+
+    private allowanceOf(service: string): RetryAllowance {
+        let allowance = this.allowances.get(service);
+        if (!allowance) {
+            allowance = RetryAllowance.create(this.settings.retryBounds, () => this.nodeCount());
+            this.allowances.set(service, allowance);
+        }
+        return allowance;
+    }
+
+    private createServerClient(): ServerClient {
+        const { settings, clock, gate } = this;
+        return ServerClient.create({
+            clock,
+            gate,
+            headerNames: settings.headerNames,
+            hostAddress: settings.backendServer.address,
+            port: settings.backendServer.port,
+            onInstance: instance => this.log.decision("own-server-is-another-instance", { instance }),
+        });
+    }
+
+    private peerServerParts(): Parameters<typeof createPeerServer>[0] {
+        const { clock, server, gate, lifeCycle, log } = this;
+        return { clock, server, gate, lifeCycle, log, headerNames: this.settings.headerNames };
+    }
+
+    private callerServerParts(): Parameters<typeof createCallerServer>[0] {
+        const { clock, lease, quota, split, log, metrics, lifeCycle, settings } = this;
+        return {
+            clock,
+            lease,
+            quota,
+            split,
+            log,
+            metrics,
+            lifeCycle,
+            version: () => this.version,
+            headerNames: settings.headerNames,
+            ownService: settings.service,
+            relay: {
+                clock,
+                log,
+                hostAddress: settings.hostAddress,
+                failureDomain: settings.failureDomain,
+                directory: this.directory,
+                placement: this.placement,
+                health: this.health,
+                server: this.server,
+                peers: this.peers,
+                allowanceOf: service => this.allowanceOf(service),
+                isOwnServerLeaving: () => this.isOwnServerLeaving,
+            },
+        };
+    }
+
+    private onServerChange(change: DirectoryChange): void {
+        const { server, kind, cause } = change;
+        this.log.event(`server-${kind}`, { instance: server.instance, service: server.service, cause });
+        if (kind === "left") {
+            this.placement.forget(server.instance);
+        }
+        if (server.hostAddress === this.settings.hostAddress) {
+            this.followOwnServer();
+        }
+    }
+
+    /** Adopts slots and state of the own backend server from its entry. */
+    private followOwnServer(): void {
+        const { address, port } = this.settings.backendServer;
+        const own = this.directory.findAt(address, port);
+        if (own) {
+            this.gate.setSlots(own.slots);
+        }
+        const isLeaving = own === undefined || own.state === "draining";
+        if (isLeaving && !this.isOwnServerLeaving) {
+            this.clock.setTimer(
+                this.settings.drainMs * DRAIN_PART,
+                () => this.gate.setLeaving(this.isOwnServerLeaving),
+            );
+        }
+        if (!isLeaving) {
+            this.gate.setLeaving(false);
+        }
+        this.isOwnServerLeaving = isLeaving;
+    }
+
+    private async open(server: Server, at: ListenAddress): Promise<void> {
+        this.listeners.push(server);
+        await new Promise<void>((resolve, reject) => {
+            server.once("error", reject);
+            server.listen(at.port, at.address, resolve);
+        });
+    }
+
+    private delay(durationMs: number): Promise<void> {
+        return new Promise(resolve => setTimeout(resolve, durationMs));
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/process/peer-health.ts
@@ -0,0 +1,63 @@
+/**
+ * Which peers can be reached, from what this node sees on its own connections.
+ */
+import type { Clock } from "@radishrouter/core";
+import Emittery from "emittery";
+
+/** Why a peer is avoided. */
+export type PeerTrouble = "unreachable" | "silent" | "stopping";
+
+/** A change of what this node thinks of a peer. */
+export interface PeerChange {
+    readonly address: string;
+    readonly trouble: PeerTrouble | undefined;
+}
+
+interface PeerRecord {
+    trouble: PeerTrouble;
+    sinceMs: number;
+}
+
+/** Time after which a peer that said that it stops counts as an ordinary one again. */
+const STOPPING_MS = 8_000;
+
+/** Peers that are avoided. A peer that is unreachable or silent stays so until a probe on a new connection succeeds. */
+export class PeerHealth {
+    /** Emits `changed` when a peer becomes avoided or usable. */
+    readonly events: Emittery<{ changed: PeerChange; }> = new Emittery();
+    private readonly records = new Map<string, PeerRecord>();
+
+    private constructor(private readonly clock: Clock) {}
+
+    static create(clock: Clock): PeerHealth {
+        return new PeerHealth(clock);
+    }
+
+    /** Why a peer is avoided; undefined when it may be used. */
+    troubleOf(address: string): PeerTrouble | undefined {
+        const record = this.records.get(address);
+        if (record?.trouble === "stopping" && this.clock.nowMs() - record.sinceMs > STOPPING_MS) {
+            this.clear(address);
+            return undefined;
+        }
+        return record?.trouble;
+    }
+
+    /** Records trouble with a peer; true when it was usable before. */
+    record(address: string, trouble: PeerTrouble): boolean {
+        const before = this.records.get(address);
+        if (before?.trouble === trouble) {
+            return false;
+        }
+        this.records.set(address, { trouble, sinceMs: this.clock.nowMs() });
+        void this.events.emit("changed", { address, trouble });
+        return before === undefined;
+    }
+
+    /** Records that a peer can be used again. */
+    clear(address: string): void {
+        if (this.records.delete(address)) {
+            void this.events.emit("changed", { address, trouble: undefined });
+        }
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/process/placement.ts
@@ -0,0 +1,163 @@
+/**
+ * Chooses the backend server for a request.
+ *
+ * Answers uneven load: servers of different speed, cold or failing ones, and bursts in one failure domain. What this
+ * node knows of a server is the load that the node beside it told with its last answer, and its own open requests,
+ * which count at once so that not all requests go to the server that looked empty last.
+ */
+import type { Clock } from "@radishrouter/core";
+import type { KnownServer } from "./server-directory.js";
+import type { GateLoad } from "./server-gate.js";
+
+/** Result of one send, as far as it speaks for or against the server. */
+export type SendVerdict = "served" | "failed" | "neutral";
+
+interface Observation {
+    ownOpen: number;
+    /** Requests of others that were open or waiting at the last report. */
+    othersOpen: number;
+    limit: number;
+    reportedAtMs: number;
+    /** Part of the last sends that the server failed. */
+    failedPart: number;
+    avoidUntilMs: number;
+}
+
+/** Where a request is placed from. */
+export interface PlacementOrigin {
+    readonly failureDomain: string;
+    readonly hostAddress: string;
+}
+
+/** What a choice has to respect. */
+export interface PlacementRequest {
+    readonly origin: PlacementOrigin;
+    readonly candidates: readonly KnownServer[];
+    /** Instances that were tried for this request. */
+    readonly tried: ReadonlySet<string>;
+    /** Whether the node beside a server can be used. */
+    readonly isReachable: (server: KnownServer) => boolean;
+}
+
+/** Reports of load lose half of their weight in this time. */
+const REPORT_HALF_LIFE_MS = 500;
+/** Used part of a server's slots up to which nearer servers are taken. */
+const NEAR_USED_PART = 0.8;
+const FARTHER_DOMAIN_COST = 0.15;
+const COLD_COST = 0.3;
+const FAILING_COST = 1.5;
+const VERDICT_WEIGHT = 0.08;
+const AVOID_AFTER_REFUSAL_MS = 60;
+const AVOID_AFTER_LOSS_MS = 400;
+
+/** Load of servers as this node sees it, and the choice among them. */
+export class Placement {
+    private readonly observations = new Map<string, Observation>();
+
+    private constructor(private readonly clock: Clock, private readonly random: () => number) {}
+
+    static create(clock: Clock, random: () => number = Math.random): Placement {
+        return new Placement(clock, random);
+    }
+
+    /** Chooses a server; undefined when none can be used. */
+    choose(request: PlacementRequest): KnownServer | undefined {
+        const { candidates, tried, origin } = request;
+        const untried = candidates.filter(server => !tried.has(server.instance));
+        const reachable = untried.filter(server => request.isReachable(server));
+        const nowMs = this.clock.nowMs();
+        const calm = reachable.filter(server => this.observationOf(server).avoidUntilMs <= nowMs);
+        const usable = calm.length > 0 ? calm : reachable;
+        const near = this.chooseNear(usable, origin);
+        return near ?? this.lesserOfTwo(usable, origin);
+    }
+
+    /** Counts a send as open at a server. */
+    start(server: KnownServer): void {
+        this.observationOf(server).ownOpen++;
+    }
+
+    /** Counts the end of a send. */
+    end(server: KnownServer, verdict: SendVerdict): void {
+        const observation = this.observationOf(server);
+        observation.ownOpen = Math.max(0, observation.ownOpen - 1);
+        if (verdict !== "neutral") {
+            const failed = verdict === "failed" ? 1 : 0;
+            observation.failedPart += (failed - observation.failedPart) * VERDICT_WEIGHT;
+        }
+    }
+
+    /** Adopts the load that the node beside a server told. */
+    report(server: KnownServer, load: GateLoad): void {
+        const observation = this.observationOf(server);
+        observation.limit = load.limit;
+        observation.othersOpen = Math.max(0, load.open + load.waiting - observation.ownOpen);
+        observation.reportedAtMs = this.clock.nowMs();
+    }
+
+    /** Passes a server over for a moment after it refused a request or could not be reached. */
+    avoid(server: KnownServer, cause: "refusal" | "loss"): void {
+        const durationMs = cause === "refusal" ? AVOID_AFTER_REFUSAL_MS : AVOID_AFTER_LOSS_MS;
+        this.observationOf(server).avoidUntilMs = this.clock.nowMs() + durationMs;
+    }
+
+    /** Forgets servers that are gone. */
+    forget(instance: string): void {
+        this.observations.delete(instance);
+    }
+
+    /** Estimated part of a server's slots that is in use; above 1 when requests wait. */
+    usedPart(server: KnownServer): number {
+        const observation = this.observationOf(server);
+        const ageMs = this.clock.nowMs() - observation.reportedAtMs;
+        const othersOpen = observation.othersOpen * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+        return (observation.ownOpen + othersOpen) / observation.limit;
+    }
+
+    /** Own server, then those of the own failure domain, while they have room. */
+    private chooseNear(servers: readonly KnownServer[], origin: PlacementOrigin): KnownServer | undefined {
+        const own = servers.find(server => server.hostAddress === origin.hostAddress);
+        if (own && this.cost(own, origin) < NEAR_USED_PART) {
+            return own;
+        }
+        const near = servers.filter(server => server.failureDomain === origin.failureDomain);
+        const chosen = this.lesserOfTwo(near, origin);
+        return chosen && this.cost(chosen, origin) < NEAR_USED_PART ? chosen : undefined;
+    }
+
+    private lesserOfTwo(servers: readonly KnownServer[], origin: PlacementOrigin): KnownServer | undefined {
+        if (servers.length <= 1) {
+            return servers[0];
+        }
+        const first = Math.floor(this.random() * servers.length);
+        const step = 1 + Math.floor(this.random() * (servers.length - 1));
+        const left = servers[first]!;
+        const right = servers[(first + step) % servers.length]!;
+        return this.cost(left, origin) <= this.cost(right, origin) ? left : right;
+    }
+
+    private cost(server: KnownServer, origin: PlacementOrigin): number {
+        const observation = this.observationOf(server);
+        const isCold = server.coldUntilMs > this.clock.nowMs();
+        return this.usedPart(server) +
+            (server.failureDomain === origin.failureDomain ? 0 : FARTHER_DOMAIN_COST) +
+            (isCold ? COLD_COST : 0) +
+            observation.failedPart * FAILING_COST;
+    }
+
+    private observationOf(server: KnownServer): Observation {
+        let observation = this.observations.get(server.instance);
+        if (!observation) {
+            observation = {
+                ownOpen: 0,
+                othersOpen: 0,
+                limit: Math.max(1, server.slots),
+                reportedAtMs: this.clock.nowMs(),
+                failedPart: 0,
+                avoidUntilMs: 0,
+            };
+            this.observations.set(server.instance, observation);
+        }
+        return observation;
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/request/outcome.ts
@@ -0,0 +1,47 @@
+/**
+ * What became of one send of a request to one backend server.
+ */
+import type { ExchangeResponse } from "../connection/http-exchange.js";
+import type { GateRefusal } from "../process/server-gate.js";
+
+/** Why a request has not run. */
+export type NotRunReason =
+    | GateRefusal
+    /** The backend server refused it and said that it did not run it. */
+    | "refused-by-server"
+    /** Another backend server has the address. */
+    | "other-instance"
+    /** No connection could be opened. */
+    | "not-connected";
+
+/** Why it is not known whether a request has run, or its answer cannot be used. */
+export type UnknownReason =
+    | "connection-lost"
+    | "answer-invalid"
+    | "silent"
+    | "timeout"
+    | "caller-gone";
+
+/** Result of one send. */
+export type Outcome =
+    | { readonly kind: "answered"; readonly response: ExchangeResponse; }
+    | {
+        readonly kind: "not-run";
+        readonly reason: NotRunReason;
+        /** Whether the request reached the backend server. */
+        readonly reached: boolean;
+        readonly retryAfterMs: number;
+    }
+    | { readonly kind: "unknown"; readonly reason: UnknownReason; readonly detail: string; };
+
+/** A send that runs. */
+export interface Send {
+    readonly outcome: Promise<Outcome>;
+    /** Gives the send up. */
+    abort(reason: UnknownReason): void;
+}
+
+/** Whether an answer is a failure that the backend server made itself. */
+export function isServerFailure(response: ExchangeResponse): boolean {
+    return response.status >= 500;
+}
--- /dev/null
+++ b/packages/mesh/src/request/relay.ts
@@ -0,0 +1,236 @@
+/**
+ * Takes one admitted request to a backend server: places it, sends it on elsewhere while that is safe, and gives up at
+ * its time limit.
+ */
+import type { Clock } from "@radishrouter/core";
+import { RequestError } from "@radishrouter/core";
+import type { ExchangeResponse } from "../connection/http-exchange.js";
+import type { PeerClient } from "../connection/peer-client.js";
+import type { ServerClient } from "../connection/server-client.js";
+import type { PeerHealth } from "../process/peer-health.js";
+import type { Placement, SendVerdict } from "../process/placement.js";
+import type { RequestLog } from "../process/request-log.js";
+import type { RetryAllowance } from "../process/retry-allowance.js";
+import type { KnownServer, ServerDirectory } from "../process/server-directory.js";
+import { isServerFailure } from "./outcome.js";
+import type { Outcome, Send, UnknownReason } from "./outcome.js";
+import type { RelayedRequest } from "./relayed-request.js";
+
+/** Parts that relays work with. */
+export interface RelayParts {
+    readonly clock: Clock;
+    readonly hostAddress: string;
+    readonly failureDomain: string;
+    readonly directory: ServerDirectory;
+    readonly placement: Placement;
+    readonly health: PeerHealth;
+    readonly server: ServerClient;
+    readonly peers: PeerClient;
+    readonly log: RequestLog;
+    readonly allowanceOf: (service: string) => RetryAllowance;
+    /** Whether the node beside the own backend server takes no new work for it. */
+    readonly isOwnServerLeaving: () => boolean;
+}
+
+/** Sends that did not reach a backend server cost nothing there, but each costs time. */
+const MAXIMUM_PLACEMENTS = 4;
+const MAXIMUM_QUEUE_REFUSALS = 2;
+const RETRY_AFTER_WITHOUT_SERVER_MS = 400;
+/** Time that the last message to the caller takes. */
+const ANSWER_MARGIN_MS = 5;
+
+/** One request of a caller until its final answer. */
+export class Relay {
+    private readonly tried = new Set<string>();
+    private current: Send | undefined;
+    private ended: UnknownReason | undefined;
+    /** Sends that reached a backend server. */
+    private arrivals = 0;
+    private queueRefusals = 0;
+    private retryAfterMs = 0;
+    /** Whether a send ended without its outcome being known. */
+    private mayHaveRun = false;
+    private lastReason = "no backend server is known";
+
+    private constructor(
+        private readonly parts: RelayParts,
+        private readonly request: RelayedRequest,
+        private readonly service: string,
+    ) {}
+
+    static create(parts: RelayParts, request: RelayedRequest, service: string): Relay {
+        return new Relay(parts, request, service);
+    }
+
+    /** Gives the request up because its caller has gone. */
+    callerGone(): void {
+        this.end("caller-gone");
+    }
+
+    /**
+     * Resolves with the answer of a backend server.
+     *
+     * @throws RequestError when there is none; its execution says whether the request may have run.
+     */
+    async run(): Promise<ExchangeResponse> {
+        const { clock } = this.parts;
+        const limitMs = this.request.giveUpAtMs - clock.nowMs() - ANSWER_MARGIN_MS;
+        const timer = clock.setTimer(limitMs, () => this.end("timeout"));
+        try {
+            return await this.runToEnd();
+        }
+        finally {
+            timer.cancel();
+        }
+    }
+
+    private async runToEnd(): Promise<ExchangeResponse> {
+        this.parts.allowanceOf(this.service).recordFirst();
+        for (let placement = 0; placement < MAXIMUM_PLACEMENTS; placement++) {
+            const server = this.ended === undefined ? this.place() : undefined;
+            if (!server) {
+                break;
+            }
+            const outcome = await this.send(server);
+            if (outcome.kind === "answered") {
+                if (!this.shouldReplace(outcome.response)) {
+                    return outcome.response;
+                }
+                this.noteRepeat(server, `answered ${outcome.response.status}`);
+                continue;
+            }
+            if (!this.maySendAgain(server, outcome)) {
+                break;
+            }
+        }
+        throw this.failure();
+    }
+
+    private place(): KnownServer | undefined {
+        const { directory, placement, failureDomain, hostAddress } = this.parts;
+        return placement.choose({
+            origin: { failureDomain, hostAddress },
+            candidates: directory.usable(this.service),
+            tried: this.tried,
+            isReachable: server => this.isReachable(server),
+        });
+    }
+
+    private isReachable(server: KnownServer): boolean {
+        if (server.hostAddress === this.parts.hostAddress) {
+            return !this.parts.isOwnServerLeaving();
+        }
+        return this.parts.health.troubleOf(server.hostAddress) === undefined;
+    }
+
+    private async send(server: KnownServer): Promise<Outcome> {
+        const { placement } = this.parts;
+        this.tried.add(server.instance);
+        placement.start(server);
+        this.current = this.startSend(server);
+        const outcome = await this.current.outcome;
+        this.current = undefined;
+        placement.end(server, verdictOf(outcome));
+        this.recordOutcome(server, outcome);
+        return outcome;
+    }
+
+    private startSend(server: KnownServer): Send {
+        const { request, parts } = this;
+        if (server.hostAddress !== parts.hostAddress) {
+            return parts.peers.send(server, request);
+        }
+        return parts.server.send({ ...request, routeName: request.route.name, instance: server.instance });
+    }
+
+    private recordOutcome(server: KnownServer, outcome: Outcome): void {
+        switch (outcome.kind) {
+            case "answered":
+                this.arrivals++;
+                return;
+            case "not-run":
+                this.arrivals += outcome.reached ? 1 : 0;
+                this.queueRefusals += outcome.reason === "queue-too-long" ? 1 : 0;
+                this.retryAfterMs = Math.max(this.retryAfterMs, outcome.retryAfterMs);
+                this.lastReason = outcome.reason;
+                this.parts.placement.avoid(server, outcome.reason === "not-connected" ? "loss" : "refusal");
+                return;
+            case "unknown":
+                this.arrivals++;
+                this.mayHaveRun = true;
+                this.lastReason = `${outcome.reason}: ${outcome.detail}`;
+                return;
+        }
+    }
+
+    /** Whether a failure that the server answered is better replaced by a try at another server. */
+    private shouldReplace(response: ExchangeResponse): boolean {
+        return isServerFailure(response) && this.request.route.idempotent && this.mayRepeat();
+    }
+
+    private maySendAgain(server: KnownServer, outcome: Exclude<Outcome, { kind: "answered"; }>): boolean {
+        if (this.ended !== undefined) {
+            return false;
+        }
+        const isAllowed = outcome.kind === "not-run" ?
+            this.mayPlaceAgain(outcome.reached) :
+            this.request.route.idempotent && this.mayRepeat();
+        if (isAllowed) {
+            this.noteRepeat(server, this.lastReason);
+        }
+        return isAllowed;
+    }
+
+    private mayPlaceAgain(reached: boolean): boolean {
+        return reached ? this.mayRepeat() : this.queueRefusals < MAXIMUM_QUEUE_REFUSALS;
+    }
+
+    private mayRepeat(): boolean {
+        return this.ended === undefined && this.arrivals < this.request.route.maximumAttempts &&
+            this.parts.allowanceOf(this.service).tryTake();
+    }
+
+    private noteRepeat(server: KnownServer, cause: string): void {
+        this.parts.log.decision("request-sent-again", {
+            request: this.request.id,
+            route: this.request.route.name,
+            service: this.service,
+            failedAt: server.instance,
+            cause,
+            arrivals: this.arrivals,
+        });
+    }
+
+    private end(reason: UnknownReason): void {
+        this.ended ??= reason;
+        this.current?.abort(reason);
+    }
+
+    private failure(): RequestError {
+        const detail = `${this.service}: ${this.lastReason}`;
+        if (this.ended === "caller-gone") {
+            return RequestError.create("caller-gone", { detail });
+        }
+        if (this.mayHaveRun) {
+            const name = this.ended === "timeout" ? "deadline-exceeded" : "backend-connection-lost";
+            return RequestError.create(name, { detail });
+        }
+        const retryAfterMs = this.retryAfterMs || RETRY_AFTER_WITHOUT_SERVER_MS;
+        if (this.queueRefusals > 0) {
+            return RequestError.create("overloaded", { detail, retryAfterMs });
+        }
+        const name = this.arrivals > 0 ? "retries-exhausted" : "no-backend-server";
+        return RequestError.create(name, { detail, retryAfterMs });
+    }
+}
+
+function verdictOf(outcome: Outcome): SendVerdict {
+    switch (outcome.kind) {
+        case "answered":
+            return isServerFailure(outcome.response) ? "failed" : "served";
+        case "not-run":
+            return outcome.reached ? "failed" : "neutral";
+        case "unknown":
+            return outcome.reason === "caller-gone" ? "neutral" : "failed";
+    }
+}
