--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -7,7 +7,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
-import type { OrganisationQuota } from "../process/organisation-quota.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { HeaderNames } from "../request/header-names.js";
 import { passOn } from "../request/header-names.js";
@@ -20,13 +19,14 @@
 import type { TrafficSplit } from "../version/traffic-split.js";
 import type { ExchangeResponse } from "./http-exchange.js";
 import { readBody } from "./message-body.js";
+import type { TokenBroker } from "./token-broker.js";
 
 /** Parts that the listener works with. */
 export interface CallerServerParts {
     readonly clock: Clock;
     readonly version: () => MeshVersion | undefined;
     readonly lease: ConfigurationLease;
-    readonly quota: OrganisationQuota;
+    readonly broker: TokenBroker;
     readonly split: TrafficSplit;
     readonly relay: RelayParts;
     readonly headerNames: HeaderNames;
@@ -98,6 +98,7 @@
         });
         try {
             const admission = this.admit();
+            await this.keepWithinRate(admission.organisation);
             this.sendAnswer(await this.run(admission));
         }
         catch (error) {
@@ -125,7 +126,7 @@
         if (!version.needsKeys || route.isPublic) {
             return undefined;
         }
-        const { lease, quota, headerNames } = this.parts;
+        const { lease, headerNames } = this.parts;
         if (!lease.isValid()) {
             throw Refusal.create("configuration-missing", {
                 detail: `the configuration was last proved current ${Math.round(lease.ageMs())} ms ago`,
@@ -137,14 +138,20 @@
         if (!organisation) {
             throw Refusal.create(key === undefined ? "key-missing" : "key-invalid");
         }
-        const decision = quota.tryTake(organisation);
+        return organisation;
+    }
+
+    private async keepWithinRate(organisation: Organisation | undefined): Promise<void> {
+        if (!organisation) {
+            return;
+        }
+        const decision = await this.parts.broker.take(organisation);
         if (decision.kind === "over") {
             throw Refusal.create("rate-exceeded", {
                 detail: `${organisation.name} is over its rate`,
                 retryAfterMs: decision.retryAfterMs,
             });
         }
-        return organisation;
     }
 
     private async run(admission: Admission): Promise<ExchangeResponse> {
--- a/packages/mesh/src/connection/http-exchange.ts
+++ b/packages/mesh/src/connection/http-exchange.ts
@@ -83,6 +83,8 @@
 /** Connections to one server. */
 export class ExchangePool {
     private readonly pool: Pool;
+    /** Whether a connection of the pool is being reset right now. */
+    private isResetting = false;
 
     private constructor(options: PoolOptions) {
         this.pool = new Pool(`http://${options.hostAddress}:${options.port}`, {
@@ -92,7 +94,7 @@
             keepAliveMaxTimeout: options.idleMs,
             headersTimeout: 0,
             bodyTimeout: 0,
-            connect: createConnector(options),
+            connect: createConnector(options, () => this.noteReset()),
         });
     }
 
@@ -102,7 +104,7 @@
 
     /** Starts an exchange. */
     start(request: ExchangeRequest, observer: ExchangeObserver = {}): Exchange {
-        const handler = new ExchangeHandler(observer);
+        const handler = new ExchangeHandler(observer, () => this.isResetting);
         try {
             this.pool.dispatch(
                 {
@@ -120,6 +122,17 @@
         return { result: handler.result, abort: reason => handler.abort(reason) };
     }
 
+    /**
+     * The client takes an answer without a length as complete also when its connection is reset, and says so while the
+     * reset is handled. Only a regular end of the connection ends such an answer.
+     */
+    private noteReset(): void {
+        this.isResetting = true;
+        queueMicrotask(() => {
+            this.isResetting = false;
+        });
+    }
+
     /** Closes all connections; exchanges that run fail. */
     async destroy(): Promise<void> {
         await this.pool.destroy();
@@ -131,6 +144,7 @@
     }
 }
 
+/** Collects one answer. */
 class ExchangeHandler implements Dispatcher.DispatchHandler {
     readonly result: Promise<ExchangeResult>;
     private settle: (result: ExchangeResult) => void = () => undefined;
@@ -142,7 +156,7 @@
     private readonly chunks: Buffer[] = [];
     private receivedBytes = 0;
 
-    constructor(private readonly observer: ExchangeObserver) {
+    constructor(private readonly observer: ExchangeObserver, private readonly isResetting: () => boolean) {
         this.result = new Promise(settle => {
             this.settle = settle;
         });
@@ -189,6 +203,10 @@
     }
 
     onComplete(): void {
+        if (this.isResetting()) {
+            this.onError(new Error("the connection was reset before the end of the answer"));
+            return;
+        }
         const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
         const response = { status: this.status, headers: HeaderList.create(this.fields), body };
         this.settle({ kind: "answered", response });
@@ -200,7 +218,7 @@
 }
 
 /** Opens connections with a time limit of its own, as the platform's links may swallow what is sent. */
-function createConnector(options: PoolOptions): buildConnector.connector {
+function createConnector(options: PoolOptions, onReset: () => void): buildConnector.connector {
     return (_target, callback) => {
         const socket = connectSocket({ host: options.hostAddress, port: options.port, noDelay: true });
         const timer = setTimeout(
@@ -211,6 +229,12 @@
             clearTimeout(timer);
             callback(...toConnectFailure(error));
         };
+        socket.on("error", onReset);
+        socket.on("end", () => {
+            if (wasReset(socket)) {
+                onReset();
+            }
+        });
         socket.once("error", onError);
         socket.once("connect", () => {
             clearTimeout(timer);
@@ -220,6 +244,15 @@
     };
 }
 
+/**
+ * Whether a connection that ended was reset. A reset right behind the last data is reported as a regular end; only a
+ * connection that was closed regularly still has a peer then. The address must not have been asked for before, as it
+ * is remembered.
+ */
+function wasReset(socket: Socket): boolean {
+    return socket.remoteAddress === undefined;
+}
+
 /* eslint-disable no-restricted-syntax -- the callback of undici marks what is absent by null */
 function toConnectFailure(error: Error): [Error, null] {
     return [error, null];
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -32,6 +32,9 @@
 const PROBE_TIMEOUT_MS = 600;
 /** Path at which nodes answer probes of each other. */
 export const PROBE_PATH = "/radishrouter/alive";
+/** Path at which nodes give each other tokens. */
+export const TOKENS_PATH = "/radishrouter/tokens";
+const TOKENS_TIMEOUT_MS = 60;
 const OK_STATUS = 200;
 
 /** Requests to peers, and probes of those that went silent. */
@@ -74,6 +77,19 @@
         return { outcome, abort };
     }
 
+    /** Asks the node at an address for tokens of an organisation; resolves with those that it gave. */
+    async askForTokens(address: string, organisation: string, wanted: number): Promise<number> {
+        const path = `${TOKENS_PATH}?${new URLSearchParams({ organisation, wanted: String(wanted) })}`;
+        const exchange = this.poolOf(address).start({ method: "POST", path, headers: [], body: undefined });
+        const timer = this.parts.clock.setTimer(TOKENS_TIMEOUT_MS, () => exchange.abort("no tokens in time"));
+        const result = await exchange.result;
+        timer.cancel();
+        if (result.kind === "failed" || result.response.status !== OK_STATUS) {
+            return 0;
+        }
+        return Number(result.response.body.toString("latin1")) || 0;
+    }
+
     /** Closes all connections. */
     async close(): Promise<void> {
         await Promise.all([...this.pools.values()].map(pool => pool.destroy()));
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -5,6 +5,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { LifeCycle } from "../process/life-cycle.js";
+import type { OrganisationQuota } from "../process/organisation-quota.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { ServerGate } from "../process/server-gate.js";
 import { answerHeader, forwardHeader, passOn } from "../request/header-names.js";
@@ -12,7 +13,7 @@
 import type { Outcome, Send } from "../request/outcome.js";
 import type { ServerRequest } from "../request/relayed-request.js";
 import { readBody } from "./message-body.js";
-import { formatLoad, PROBE_PATH, PROGRESS_MS } from "./peer-client.js";
+import { formatLoad, PROBE_PATH, PROGRESS_MS, TOKENS_PATH } from "./peer-client.js";
 import type { ServerClient } from "./server-client.js";
 
 /** Parts that the listener works with. */
@@ -20,6 +21,7 @@
     readonly clock: Clock;
     readonly server: ServerClient;
     readonly gate: ServerGate;
+    readonly quota: OrganisationQuota;
     readonly headerNames: HeaderNames;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
@@ -28,27 +30,43 @@
 const MAXIMUM_HEADER_BYTES = 65_536;
 const MAXIMUM_BODY_BYTES = 128 * 1024 * 1024;
 const IDLE_MS = 20_000;
+const OK_STATUS = 200;
 const NO_CONTENT_STATUS = 204;
+const NOT_FOUND_STATUS = 404;
+const UNAVAILABLE_STATUS = 503;
 
 /** Creates the server for requests of other nodes. */
 export function createPeerServer(parts: PeerServerParts): Server {
     const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, (request, response) => {
-        if (request.url === PROBE_PATH && request.headers[forwardHeader.route] === undefined) {
-            answerProbe(parts, response);
-            return;
+        if (request.headers[forwardHeader.route] !== undefined) {
+            void serve(parts, request, response);
+        }
+        else if (request.url?.startsWith(TOKENS_PATH)) {
+            giveTokens(parts, request.url, response);
+        }
+        else {
+            answerProbe(parts, request.url === PROBE_PATH, response);
         }
-        void serve(parts, request, response);
     });
     server.keepAliveTimeout = IDLE_MS;
     server.requestTimeout = 0;
     return server;
 }
 
-function answerProbe(parts: PeerServerParts, response: ServerResponse): void {
-    response.writeHead(parts.lifeCycle.isStopping ? 503 : 200, ["content-length", "0"]);
+function answerProbe(parts: PeerServerParts, isProbe: boolean, response: ServerResponse): void {
+    const runningStatus = parts.lifeCycle.isStopping ? UNAVAILABLE_STATUS : OK_STATUS;
+    response.writeHead(isProbe ? runningStatus : NOT_FOUND_STATUS, ["content-length", "0"]);
     response.end();
 }
 
+function giveTokens(parts: PeerServerParts, url: string, response: ServerResponse): void {
+    const query = new URLSearchParams(url.slice(url.indexOf("?") + 1));
+    const granted = parts.quota.grant(query.get("organisation") ?? "", Number(query.get("wanted")));
+    const body = String(granted);
+    response.writeHead(OK_STATUS, ["content-length", String(body.length)]);
+    response.end(body);
+}
+
 async function serve(parts: PeerServerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
     parts.lifeCycle.begin();
     let send: Send | undefined = undefined;
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -2,6 +2,7 @@
  * The request path of a node whose configuration and hosts are handed in by the embedding program.
  */
 export * from "./connection/http-exchange.js";
+export * from "./connection/token-broker.js";
 export * from "./process/mesh-node.js";
 export * from "./process/organisation-quota.js";
 export * from "./process/peer-health.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -9,6 +9,7 @@
 import { createPeerServer } from "../connection/peer-server.js";
 import { ServerClient } from "../connection/server-client.js";
 import { createMetricsServer, createReadinessServer } from "../connection/status-server.js";
+import { TokenBroker } from "../connection/token-broker.js";
 import type { HeaderNames } from "../request/header-names.js";
 import { ConfigurationLease } from "../version/configuration-lease.js";
 import type { MeshConfiguration } from "../version/mesh-configuration.js";
@@ -77,6 +78,7 @@
     private readonly metrics: MeshMetrics;
     private readonly server: ServerClient;
     private readonly peers: PeerClient;
+    private readonly broker: TokenBroker;
     private version: MeshVersion | undefined;
     private callerServer: Server | undefined;
     private readonly listeners: Server[] = [];
@@ -89,7 +91,7 @@
         this.gate = ServerGate.create(clock);
         this.health = PeerHealth.create(clock);
         this.placement = Placement.create(clock);
-        this.quota = OrganisationQuota.create(clock, () => this.nodeCount());
+        this.quota = OrganisationQuota.create(clock, settings.hostAddress, () => this.fleetHosts());
         this.metrics = MeshMetrics.create({
             load: () => this.gate.load(),
             configurationVersion: () => this.version?.configuration.version,
@@ -103,6 +105,13 @@
             peerPort: settings.peers.port,
             onLoad: (server, load) => this.placement.report(server, load),
         });
+        this.broker = TokenBroker.create({
+            clock,
+            quota: this.quota,
+            ownAddress: settings.hostAddress,
+            isReachable: address => this.health.troubleOf(address) === undefined,
+            ask: (address, organisation, wanted) => this.peers.askForTokens(address, organisation, wanted),
+        });
     }
 
     static create(settings: MeshNodeSettings, clock: Clock = SystemClock.create()): MeshNode {
@@ -141,6 +150,7 @@
             return;
         }
         this.version = MeshVersion.create(configuration);
+        this.quota.setOrganisations(configuration.organisations ?? []);
         this.split.retain(new Set(configuration.routes.map(route => route.name)));
         if (this.callerServer) {
             applyIdleLimit(this.callerServer, configuration.limits.idleTimeoutMs);
@@ -165,6 +175,8 @@
             listener.closeIdleConnections();
         });
         await Promise.race([limit, lifeCycle.idle()]);
+        this.listeners.forEach(listener => listener.closeAllConnections());
+        await Promise.all([this.server.close(), this.peers.close()]);
         log.event("process-stopped", { open: lifeCycle.open, tookMs: Math.round(clock.nowMs() - stoppedAtMs) });
         log.flush();
     }
@@ -174,14 +186,17 @@
             this.lease.isValid();
     }
 
-    private nodeCount(): number {
-        return Math.max(1, this.directory.hostCount);
+    /** Hosts of the fleet, with this one also while its backend server is not listed. */
+    private fleetHosts(): readonly string[] {
+        const { hosts } = this.directory;
+        const { hostAddress } = this.settings;
+        return hosts.includes(hostAddress) ? hosts : [...hosts, hostAddress].sort();
     }
 
     private allowanceOf(service: string): RetryAllowance {
         let allowance = this.allowances.get(service);
         if (!allowance) {
-            allowance = RetryAllowance.create(this.settings.retryBounds, () => this.nodeCount());
+            allowance = RetryAllowance.create(this.settings.retryBounds, () => this.fleetHosts().length);
             this.allowances.set(service, allowance);
         }
         return allowance;
@@ -200,16 +215,16 @@
     }
 
     private peerServerParts(): Parameters<typeof createPeerServer>[0] {
-        const { clock, server, gate, lifeCycle, log } = this;
-        return { clock, server, gate, lifeCycle, log, headerNames: this.settings.headerNames };
+        const { clock, server, gate, quota, lifeCycle, log } = this;
+        return { clock, server, gate, quota, lifeCycle, log, headerNames: this.settings.headerNames };
     }
 
     private callerServerParts(): Parameters<typeof createCallerServer>[0] {
-        const { clock, lease, quota, split, log, metrics, lifeCycle, settings } = this;
+        const { clock, lease, broker, split, log, metrics, lifeCycle, settings } = this;
         return {
             clock,
             lease,
-            quota,
+            broker,
             split,
             log,
             metrics,
@@ -239,6 +254,9 @@
         if (kind === "left") {
             this.placement.forget(server.instance);
         }
+        if (kind === "left" || kind === "joined") {
+            this.quota.applyShares();
+        }
         if (server.hostAddress === this.settings.hostAddress) {
             this.followOwnServer();
         }
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -1,71 +1,187 @@
 /**
- * Holds organisations to their rate and burst over all hosts without any message: each node uses its own part.
+ * Holds organisations to their rate and burst over all hosts.
+ *
+ * Answers a load of one organisation above its rate, and of organisations whose callers use some hosts more than
+ * others. Each holder mints its part of the rate and nobody else mints, so the sum over all hosts holds by
+ * construction, also while hosts are cut off from each other. Tokens that a host does not need itself it gives to one
+ * that does; a token that is lost on the way is lost capacity, never extra capacity.
  */
 import type { Clock } from "@radishrouter/core";
+import { highestScores } from "@radishrouter/core";
 import type { Organisation } from "../version/mesh-configuration.js";
 
-/** Answer of a quota. */
-export type QuotaDecision = { readonly kind: "within"; } | { readonly kind: "over"; readonly retryAfterMs: number; };
-
 interface Bucket {
     tokens: number;
     filledAtMs: number;
     ratePerSecond: number;
     burst: number;
+    /** Requests a second that came to this node, weighted towards the last second. */
+    demandPerSecond: number;
+    demandAtMs: number;
+}
+
+/** Who mints for an organisation, as far as this node knows. */
+export interface Holders {
+    /** Host addresses that mint; each an equal part. */
+    readonly addresses: readonly string[];
+    readonly isOwnHolder: boolean;
 }
 
-const WITHIN: QuotaDecision = { kind: "within" };
 const SECOND_MS = 1000;
-const LEAST_BURST = 1;
-const RETRY_AFTER_AT_MOST_MS = 2_000;
+const DEMAND_HALF_LIFE_MS = 700;
+/** A host keeps what its own callers will ask for in this time. */
+const OWN_RESERVE_MS = 250;
+/** A host asks for what its callers will need in this time. */
+const WANTED_MS = 300;
+const LARGEST_GRANT = 64;
 
-/** Token buckets by organisation, each with the part of the fleet's rate that belongs to this node. */
+/** Token buckets of the organisations, with the part of the fleet's rate that this host mints. */
 export class OrganisationQuota {
     private readonly buckets = new Map<string, Bucket>();
+    private readonly holders = new Map<string, Holders>();
+    private organisations = new Map<string, Organisation>();
+
+    private constructor(
+        private readonly clock: Clock,
+        private readonly ownAddress: string,
+        private readonly hosts: () => readonly string[],
+    ) {}
+
+    /** A quota of the host at `ownAddress` in a fleet of `hosts`, which includes itself. */
+    static create(clock: Clock, ownAddress: string, hosts: () => readonly string[]): OrganisationQuota {
+        return new OrganisationQuota(clock, ownAddress, hosts);
+    }
+
+    /** Adopts the published organisations. */
+    setOrganisations(organisations: readonly Organisation[]): void {
+        this.organisations = new Map(organisations.map(organisation => [organisation.name, organisation]));
+        for (const name of this.buckets.keys()) {
+            if (!this.organisations.has(name)) {
+                this.buckets.delete(name);
+            }
+        }
+        this.applyShares();
+    }
+
+    /** Takes over that the list of hosts or the rates have changed. */
+    applyShares(): void {
+        this.holders.clear();
+        for (const [name, bucket] of this.buckets) {
+            this.applyShare(this.organisations.get(name)!, bucket);
+        }
+    }
 
-    private constructor(private readonly clock: Clock, private readonly nodeCount: () => number) {}
+    /** Hosts that mint for an organisation: all, or as many as its burst has whole tokens. */
+    holdersOf(organisation: Organisation): Holders {
+        let holders = this.holders.get(organisation.name);
+        if (!holders) {
+            const hosts = this.hosts();
+            const count = Math.max(1, Math.min(hosts.length, Math.floor(organisation.burst)));
+            const addresses = count === hosts.length ? hosts : highestScores(organisation.name, hosts, count);
+            holders = { addresses, isOwnHolder: addresses.includes(this.ownAddress) };
+            this.holders.set(organisation.name, holders);
+        }
+        return holders;
+    }
 
-    /** A quota of a node in a fleet of `nodeCount` nodes. */
-    static create(clock: Clock, nodeCount: () => number): OrganisationQuota {
-        return new OrganisationQuota(clock, nodeCount);
+    /** Counts a request of an organisation towards its demand at this host. */
+    recordDemand(organisation: Organisation): void {
+        const bucket = this.bucketOf(organisation);
+        this.decayDemand(bucket);
+        bucket.demandPerSecond += SECOND_MS / DEMAND_HALF_LIFE_MS * Math.LN2;
     }
 
-    /** Takes one request out of the node's part of an organisation's rate. */
-    tryTake(organisation: Organisation): QuotaDecision {
+    /** Takes a token for one request; false when there is none here. */
+    tryTake(organisation: Organisation): boolean {
         if (organisation.ratePerSecond <= 0) {
-            return WITHIN;
+            return true;
         }
         const bucket = this.bucketOf(organisation);
         this.fill(bucket);
-        if (bucket.tokens >= 1) {
-            bucket.tokens--;
-            return WITHIN;
+        if (bucket.tokens < 1) {
+            return false;
         }
-        const untilTokenMs = (1 - bucket.tokens) / bucket.ratePerSecond * SECOND_MS;
-        return { kind: "over", retryAfterMs: Math.min(RETRY_AFTER_AT_MOST_MS, untilTokenMs) };
+        bucket.tokens--;
+        return true;
+    }
+
+    /** Tokens to ask another host for, with `waiting` requests that need one now. */
+    wanted(organisation: Organisation, waiting: number): number {
+        const bucket = this.bucketOf(organisation);
+        this.decayDemand(bucket);
+        const soon = (bucket.demandPerSecond - bucket.ratePerSecond) * WANTED_MS / SECOND_MS;
+        return Math.min(LARGEST_GRANT, Math.max(1, waiting, Math.ceil(soon)));
+    }
+
+    /** Gives tokens to another host, as far as the callers of this one do not need them soon. */
+    grant(organisationName: string, wanted: number): number {
+        const organisation = this.organisations.get(organisationName);
+        if (!organisation || !(wanted > 0)) {
+            return 0;
+        }
+        const bucket = this.bucketOf(organisation);
+        this.fill(bucket);
+        this.decayDemand(bucket);
+        const reserved = Math.floor(bucket.demandPerSecond * OWN_RESERVE_MS / SECOND_MS);
+        const granted = Math.max(0, Math.min(wanted, LARGEST_GRANT, Math.floor(bucket.tokens - reserved)));
+        bucket.tokens -= granted;
+        return granted;
+    }
+
+    /** Adds tokens that another host gave. */
+    receive(organisation: Organisation, tokens: number): void {
+        const bucket = this.bucketOf(organisation);
+        this.fill(bucket);
+        bucket.tokens += tokens;
+    }
+
+    /** Time in ms until this host mints the next token; infinite when it mints none. */
+    untilTokenMs(organisation: Organisation): number {
+        const bucket = this.bucketOf(organisation);
+        this.fill(bucket);
+        const missing = Math.max(0, 1 - bucket.tokens);
+        return bucket.ratePerSecond > 0 ? missing / bucket.ratePerSecond * SECOND_MS : Infinity;
     }
 
     private bucketOf(organisation: Organisation): Bucket {
-        const nodes = Math.max(1, this.nodeCount());
-        const ratePerSecond = organisation.ratePerSecond / nodes;
-        const burst = Math.max(LEAST_BURST, organisation.burst / nodes);
         let bucket = this.buckets.get(organisation.name);
         if (!bucket) {
-            bucket = { tokens: burst, filledAtMs: this.clock.nowMs(), ratePerSecond, burst };
+            const nowMs = this.clock.nowMs();
+            // A process that starts holds nothing, as the one before it may have used its part a moment ago.
+            bucket = {
+                tokens: 0,
+                filledAtMs: nowMs,
+                ratePerSecond: 0,
+                burst: 0,
+                demandPerSecond: 0,
+                demandAtMs: nowMs,
+            };
             this.buckets.set(organisation.name, bucket);
-        }
-        if (bucket.ratePerSecond !== ratePerSecond || bucket.burst !== burst) {
-            this.fill(bucket);
-            bucket.ratePerSecond = ratePerSecond;
-            bucket.burst = burst;
+            this.applyShare(organisation, bucket);
         }
         return bucket;
     }
 
+    private applyShare(organisation: Organisation, bucket: Bucket): void {
+        this.fill(bucket);
+        const { addresses, isOwnHolder } = this.holdersOf(organisation);
+        bucket.ratePerSecond = isOwnHolder ? organisation.ratePerSecond / addresses.length : 0;
+        bucket.burst = isOwnHolder ? organisation.burst / addresses.length : 0;
+    }
+
+    /** Mints what has become due; tokens above the burst that another host gave are kept until they are used. */
     private fill(bucket: Bucket): void {
         const nowMs = this.clock.nowMs();
         const earned = (nowMs - bucket.filledAtMs) / SECOND_MS * bucket.ratePerSecond;
-        bucket.tokens = Math.min(bucket.burst, bucket.tokens + earned);
         bucket.filledAtMs = nowMs;
+        if (bucket.tokens < bucket.burst) {
+            bucket.tokens = Math.min(bucket.burst, bucket.tokens + earned);
+        }
+    }
+
+    private decayDemand(bucket: Bucket): void {
+        const nowMs = this.clock.nowMs();
+        bucket.demandPerSecond *= 0.5 ** ((nowMs - bucket.demandAtMs) / DEMAND_HALF_LIFE_MS);
+        bucket.demandAtMs = nowMs;
     }
 }
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -46,7 +46,7 @@
     readonly events: Emittery<{ changed: DirectoryChange; }> = new Emittery();
     private readonly servers = new Map<string, KnownServer>();
     private byService = new Map<string, KnownServer[]>();
-    private hostTotal = 0;
+    private hostAddresses: readonly string[] = [];
     private isLoaded = false;
 
     private constructor(private readonly clock: Clock) {}
@@ -60,9 +60,9 @@
         return this.isLoaded;
     }
 
-    /** Hosts with a listed backend server, also those that are leaving. */
-    get hostCount(): number {
-        return this.hostTotal;
+    /** Addresses of the hosts with a listed backend server, also those that are leaving. */
+    get hosts(): readonly string[] {
+        return this.hostAddresses;
     }
 
     /** All servers of a service that may get new work. */
@@ -163,7 +163,7 @@
             }
         }
         this.byService = byService;
-        this.hostTotal = hosts.size;
+        this.hostAddresses = [...hosts].sort();
     }
 }
 
--- /dev/null
+++ b/packages/mesh/src/test/example-values.ts
@@ -0,0 +1,61 @@
+/**
+ * Values that tests of the mesh start from.
+ */
+import type { GateRequest, KnownServer, MeshConfiguration, Organisation, Route } from "../index.js";
+
+export function createRoute(changes: Partial<Route> = {}): Route {
+    return {
+        name: "search",
+        hostName: "catalogue.example",
+        pathPrefix: "/search/",
+        destinations: [{ service: "catalogue", weight: 1 }],
+        idempotent: true,
+        timeoutMs: 5_000,
+        latencyObjectiveMs: 1_000,
+        maximumAttempts: 2,
+        priority: 2,
+        isPublic: false,
+        ...changes,
+    };
+}
+
+export function createOrganisation(changes: Partial<Organisation> = {}): Organisation {
+    return { name: "archive", keyHashes: [], priority: undefined, ratePerSecond: 100, burst: 100, ...changes };
+}
+
+export function createServer(instance: string, changes: Partial<KnownServer> = {}): KnownServer {
+    return {
+        instance,
+        service: "catalogue",
+        hostAddress: `10.0.0.${instance.length}`,
+        port: 8_080,
+        failureDomain: "a",
+        slots: 100,
+        state: "ready",
+        coldForMs: 0,
+        startedAtMs: undefined,
+        coldUntilMs: 0,
+        missingSinceMs: undefined,
+        ...changes,
+    };
+}
+
+export function createGateRequest(changes: Partial<GateRequest> = {}): GateRequest {
+    return { route: "search", priority: 2, isOnwardCall: false, answerByMs: 10_000, ...changes };
+}
+
+export function createConfiguration(changes: Partial<MeshConfiguration> = {}): MeshConfiguration {
+    return {
+        version: 1,
+        routes: [createRoute()],
+        services: [{ name: "catalogue", maximumConnections: 100 }],
+        organisations: undefined,
+        limits: {
+            maximumHeaderBytes: 16_384,
+            maximumBodyBytes: 1_000_000,
+            headerTimeoutMs: 3_000,
+            idleTimeoutMs: 15_000,
+        },
+        ...changes,
+    };
+}
--- /dev/null
+++ b/packages/mesh/src/test/server-gate.test.ts
@@ -0,0 +1,130 @@
+import { ManualClock } from "@radishrouter/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { GateDecision, GateTicket } from "../index.js";
+import { ServerGate } from "../index.js";
+import { createGateRequest } from "./example-values.js";
+
+const noSpread = () => 0;
+
+function createFullGate(clock: ManualClock, slots: number): { gate: ServerGate; running: GateTicket[]; } {
+    const gate = ServerGate.create(clock, noSpread);
+    gate.setSlots(slots);
+    const running = Array.from({ length: slots }, () => gate.enter(createGateRequest()));
+    return { gate, running };
+}
+
+test("the gate never lets in more requests than the server has slots", async () => {
+    const clock = ManualClock.create();
+    const { gate, running } = createFullGate(clock, 4);
+    const waiting = gate.enter(createGateRequest());
+    assert.deepEqual(gate.load(), { open: 4, waiting: 1, limit: 4 });
+    running[0]!.end({ kind: "answered", serviceMs: 20 });
+    assert.equal((await waiting.decision).kind, "admitted");
+    assert.deepEqual(gate.load(), { open: 4, waiting: 0, limit: 4 });
+});
+
+test("onward calls go before new requests of their priority, and after more important ones", async () => {
+    const clock = ManualClock.create();
+    const { gate, running } = createFullGate(clock, 1);
+    const order: string[] = [];
+    const enter = (name: string, changes: Parameters<typeof createGateRequest>[0]) => {
+        const ticket = gate.enter(createGateRequest(changes));
+        void ticket.decision.then(() => {
+            order.push(name);
+            ticket.end({ kind: "answered", serviceMs: 1 });
+        });
+    };
+    enter("new", { priority: 2 });
+    enter("call", { priority: 2, isOnwardCall: true });
+    enter("important", { priority: 0 });
+    running[0]!.end({ kind: "answered", serviceMs: 1 });
+    while (order.length < 3) {
+        await Promise.resolve();
+    }
+    assert.deepEqual(order, ["important", "call", "new"]);
+});
+
+test("a request that would wait past its time is refused at once, with a time to return", async () => {
+    const clock = ManualClock.create();
+    const { gate, running } = createFullGate(clock, 1);
+    running[0]!.end({ kind: "answered", serviceMs: 100 });
+    gate.enter(createGateRequest());
+    for (let index = 0; index < 5; index++) {
+        gate.enter(createGateRequest());
+    }
+    const late = gate.enter(createGateRequest({ answerByMs: clock.nowMs() + 60 }));
+    const decision = await late.decision;
+    assert.equal(decision.kind, "refused");
+    assert.ok(decision.kind === "refused" && decision.reason === "queue-too-long" && decision.retryAfterMs >= 100);
+});
+
+test("a caller that leaves the queue leaves its place to others", async () => {
+    const clock = ManualClock.create();
+    const { gate, running } = createFullGate(clock, 1);
+    const first = gate.enter(createGateRequest());
+    const second = gate.enter(createGateRequest());
+    first.end({ kind: "abandoned" });
+    running[0]!.end({ kind: "answered", serviceMs: 10 });
+    assert.equal((await first.decision).kind, "refused");
+    assert.equal((await second.decision).kind, "admitted");
+    assert.deepEqual(gate.load(), { open: 1, waiting: 0, limit: 1 });
+});
+
+test("ending a ticket twice frees its slot once", () => {
+    const clock = ManualClock.create();
+    const { gate, running } = createFullGate(clock, 2);
+    running[0]!.end({ kind: "abandoned" });
+    running[0]!.end({ kind: "abandoned" });
+    assert.equal(gate.load().open, 1);
+});
+
+test("a leaving server refuses what waits and what comes", async () => {
+    const clock = ManualClock.create();
+    const { gate } = createFullGate(clock, 1);
+    const waiting = gate.enter(createGateRequest());
+    gate.setLeaving(true);
+    const decisions: GateDecision[] = [await waiting.decision, await gate.enter(createGateRequest()).decision];
+    assert.deepEqual(
+        decisions.map(decision => decision.kind === "refused" && decision.reason),
+        ["leaving", "leaving"],
+    );
+    gate.setLeaving(false);
+    assert.equal(gate.load().waiting, 0);
+});
+
+test("under a load of twice the slots, what is admitted is answered in time and the slots stay in use", async () => {
+    const clock = ManualClock.create();
+    const gate = ServerGate.create(clock, noSpread);
+    const slots = 10;
+    const serviceMs = 50;
+    gate.setSlots(slots);
+    const answered: number[] = [];
+    let refused = 0;
+    const arrivalsPerStep = 4;
+    const stepMs = 10;
+    const objectiveMs = 200;
+    for (let atMs = 0; atMs < 5_000; atMs += stepMs) {
+        for (let index = 0; index < arrivalsPerStep; index++) {
+            const arrivedMs = clock.nowMs();
+            const ticket = gate.enter(createGateRequest({ answerByMs: arrivedMs + objectiveMs }));
+            void ticket.decision.then(decision => {
+                if (decision.kind === "refused") {
+                    refused++;
+                    return;
+                }
+                clock.setTimer(serviceMs, () => {
+                    answered.push(clock.nowMs() - arrivedMs);
+                    ticket.end({ kind: "answered", serviceMs });
+                });
+            });
+        }
+        await new Promise(resolve => setImmediate(resolve));
+        clock.advance(stepMs);
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    const possible = 5_000 / serviceMs * slots;
+    assert.ok(answered.length > possible * 0.93, `${answered.length} of ${possible}`);
+    assert.ok(answered.every(tookMs => tookMs <= objectiveMs + stepMs), `longest ${Math.max(...answered)} ms`);
+    assert.ok(refused > 0);
+});
--- /dev/null
+++ b/packages/mesh/src/test/version.test.ts
@@ -0,0 +1,84 @@
+import { ManualClock } from "@radishrouter/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigurationLease, hashKey, MeshVersion, RouteTable, TrafficSplit } from "../index.js";
+import { createConfiguration, createOrganisation, createRoute } from "./example-values.js";
+
+const REVOKE_MS = 5_000;
+
+test("a request takes the route with the longest prefix of its path", () => {
+    const routes = RouteTable.create([
+        createRoute({ name: "root", pathPrefix: "/" }),
+        createRoute({ name: "search", pathPrefix: "/search/" }),
+        createRoute({ name: "deep", pathPrefix: "/search/deep/" }),
+    ]);
+    const find = (target: string) => routes.find("Catalogue.example:80", target)?.name;
+    assert.equal(find("/search/deep/x?y=/search/"), "deep");
+    assert.equal(find("/search/deep"), "search");
+    assert.equal(find("/searching"), "root");
+    assert.equal(find("/?q=/search/deep/"), "root");
+    assert.equal(routes.find("other.example", "/search/"), undefined);
+});
+
+test("a path without the route's prefix has no route", () => {
+    const routes = RouteTable.create([createRoute()]);
+    assert.equal(routes.find("catalogue.example", "/search"), undefined);
+    assert.equal(routes.find("catalogue.example", ""), undefined);
+});
+
+test("each destination gets its share in every stretch of requests", () => {
+    const split = TrafficSplit.create();
+    const route = createRoute({ destinations: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }] });
+    const chosen = Array.from({ length: 200 }, () => split.next(route));
+    for (let start = 0; start + 50 <= chosen.length; start += 10) {
+        const share = chosen.slice(start, start + 50).filter(service => service === "b").length;
+        assert.ok(share >= 4 && share <= 6, `${share} of 50`);
+    }
+});
+
+test("a destination without weight gets nothing", () => {
+    const split = TrafficSplit.create();
+    const route = createRoute({ destinations: [{ service: "a", weight: 0 }, { service: "b", weight: 5 }] });
+    const chosen = new Set(Array.from({ length: 20 }, () => split.next(route)));
+    assert.deepEqual([...chosen], ["b"]);
+});
+
+test("a key stands for its organisation only in versions that hold it", () => {
+    const organisation = createOrganisation({ keyHashes: [hashKey("secret")] });
+    const holding = MeshVersion.create(createConfiguration({ organisations: [organisation] }));
+    const withdrawn = MeshVersion.create(createConfiguration({ version: 2, organisations: [createOrganisation()] }));
+    assert.equal(holding.organisationOfKey("secret")?.name, "archive");
+    assert.equal(withdrawn.organisationOfKey("secret"), undefined);
+});
+
+test("the lease counts from the moment at which the question was sent", () => {
+    const clock = ManualClock.create();
+    const lease = ConfigurationLease.create(clock, REVOKE_MS, () => clock.nowMs());
+    assert.equal(lease.isValid(), false);
+    const sentAt = lease.now();
+    clock.advance(3_000);
+    lease.renew(sentAt);
+    assert.equal(lease.isValid(), true);
+    clock.advance(1_600);
+    assert.equal(lease.isValid(), false, "4.6 s after the question, with a margin, a withdrawn key could still run");
+});
+
+test("the lease ends also when the steady clock stood still during a suspension", () => {
+    const clock = ManualClock.create();
+    let wallMs = 1_000_000;
+    const lease = ConfigurationLease.create(clock, REVOKE_MS, () => wallMs);
+    lease.renew(lease.now());
+    wallMs += 6_000;
+    assert.equal(lease.isValid(), false);
+});
+
+test("an answer to an older question does not shorten the lease", () => {
+    const clock = ManualClock.create();
+    const lease = ConfigurationLease.create(clock, REVOKE_MS, () => clock.nowMs());
+    const older = lease.now();
+    clock.advance(2_000);
+    lease.renew(lease.now());
+    lease.renew(older);
+    clock.advance(4_000);
+    assert.equal(lease.isValid(), true);
+});
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -12,8 +12,9 @@
 const root = join(import.meta.dirname, "..");
 
 function findTests() {
-    return readdirSync(join(root, "packages")).flatMap(name => {
-        const directory = join(root, "packages", name, "dist/test");
+    const packages = readdirSync(join(root, "packages")).map(name => join("packages", name));
+    return [...packages, "platform"].flatMap(name => {
+        const directory = join(root, name, "dist/test");
         return existsSync(directory) ?
             readdirSync(directory, { recursive: true }).map(file => join(directory, file)) :
             [];
