Ask for the start of the server that really runs beside the node

Ruled out: repeats after failures, which the allowance bounds.

Change: the node beside the server keeps its own belief of the instance, corrects it by the first 421 and sends again itself; until a server has answered once, one request at a time is let in. Forwarded requests name the service, so that a host whose address was used again refuses them itself.

--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -99,6 +99,8 @@
         const nowMs = this.parts.clock.nowMs();
         const headers = [
             ...request.headers,
+            forwardHeader.service,
+            server.service,
             forwardHeader.instance,
             server.instance,
             forwardHeader.route,
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -23,6 +23,7 @@
     readonly gate: ServerGate;
     readonly quota: OrganisationQuota;
     readonly headerNames: HeaderNames;
+    readonly ownService: string;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
 }
@@ -35,6 +36,9 @@
 const NOT_FOUND_STATUS = 404;
 const UNAVAILABLE_STATUS = 503;
 
+/** An address that is used again can belong to a host of another service. */
+const OTHER_SERVICE: Outcome = { kind: "not-run", reason: "other-service", reached: false, retryAfterMs: 0 };
+
 /** Creates the server for requests of other nodes. */
 export function createPeerServer(parts: PeerServerParts): Server {
     const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, (request, response) => {
@@ -87,6 +91,11 @@
         response.destroy();
         return;
     }
+    if (textOf(request.headers[forwardHeader.service]) !== parts.ownService) {
+        clearInterval(progress);
+        write(parts, request, response, OTHER_SERVICE);
+        return;
+    }
     send = parts.server.send(readRequest(parts, request, body.body, receivedAtMs));
     const outcome = await send.outcome;
     clearInterval(progress);
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -2,6 +2,7 @@
  * Sends requests to the backend server beside this node, as its gate admits them.
  */
 import type { Clock } from "@radishrouter/core";
+import type { OwnInstance } from "../process/own-instance.js";
 import type { GateTicket, ServerGate } from "../process/server-gate.js";
 import type { HeaderNames } from "../request/header-names.js";
 import type { Outcome, Send, UnknownReason } from "../request/outcome.js";
@@ -16,20 +17,21 @@
     readonly headerNames: HeaderNames;
     readonly hostAddress: string;
     readonly port: number;
-    /** Called when the backend server said which instance it is. */
-    readonly onInstance: (instance: string) => void;
+    readonly ownInstance: OwnInstance;
 }
 
 const MAXIMUM_CONNECTIONS = 512;
 const CONNECT_TIMEOUT_MS = 300;
 const IDLE_MS = 4_000;
 const MISDIRECTED_STATUS = 421;
-/** Time for which the gate stays shut for new work after a connection was refused. */
+/** Time for which a server that cannot be reached is not tried. */
+const DOWN_MS = 150;
 const RETRY_AFTER_LOSS_MS = 300;
 
 /** Requests to the backend server on this host. */
 export class ServerClient {
     private readonly pool: ExchangePool;
+    private downUntilMs = 0;
 
     private constructor(private readonly parts: ServerClientParts) {
         this.pool = ExchangePool.create({
@@ -39,6 +41,7 @@
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
             idleMs: IDLE_MS,
         });
+        parts.gate.setTrial(true);
     }
 
     static create(parts: ServerClientParts): ServerClient {
@@ -47,6 +50,9 @@
 
     /** Sends one request; its outcome says whether it ran. */
     send(request: ServerRequest): Send {
+        if (this.parts.clock.nowMs() < this.downUntilMs) {
+            return { outcome: Promise.resolve(NOT_CONNECTED), abort: () => undefined };
+        }
         const ticket = this.parts.gate.enter({
             route: request.routeName,
             priority: request.priority,
@@ -68,44 +74,56 @@
             const { reason, retryAfterMs } = decision;
             return { kind: "not-run", reason, reached: false, retryAfterMs };
         }
+        const startedAtMs = this.parts.clock.nowMs();
+        let outcome = await this.attempt(request, run);
+        if (outcome.kind === "not-run" && outcome.reason === "other-instance" && run.abortReason === undefined) {
+            // The server has just said which instance it is.
+            outcome = await this.attempt(request, run);
+        }
+        const serviceMs = this.parts.clock.nowMs() - startedAtMs;
+        run.ticket.end(outcome.kind === "answered" ? { kind: "answered", serviceMs } : { kind: "abandoned" });
+        return outcome;
+    }
+
+    private async attempt(request: ServerRequest, run: ServerRun): Promise<Outcome> {
         const remainingMs = Math.floor(request.giveUpAtMs - this.parts.clock.nowMs());
         if (run.abortReason !== undefined || remainingMs < 1) {
-            run.ticket.end({ kind: "abandoned" });
             return { kind: "not-run", reason: "no-time-left", reached: false, retryAfterMs: 0 };
         }
-        const sentAtMs = this.parts.clock.nowMs();
-        const exchange = this.pool.start({
+        run.exchange = this.pool.start({
             method: request.method,
             path: request.target,
             headers: this.headersOf(request, remainingMs),
             body: request.body,
         });
-        run.exchange = exchange;
-        const result = await exchange.result;
+        const result = await run.exchange.result;
         if (result.kind === "failed") {
-            run.ticket.end({ kind: "abandoned" });
-            return this.outcomeOfFailure(result.sent, result.reason, run.abortReason);
+            return this.readFailure(result.sent, result.reason, run.abortReason);
         }
-        const outcome = this.read(request, result.response);
-        const serviceMs = this.parts.clock.nowMs() - sentAtMs;
-        run.ticket.end(outcome.kind === "answered" ? { kind: "answered", serviceMs } : { kind: "abandoned" });
-        return outcome;
+        this.parts.gate.setTrial(false);
+        return this.read(request, result.response);
     }
 
     private headersOf(request: ServerRequest, remainingMs: number): string[] {
         const { headerNames } = this.parts;
         const headers = [...request.headers, headerNames.deadline, String(remainingMs)];
-        if (request.instance !== "") {
-            headers.push(headerNames.expectedInstance, request.instance);
+        const instance = this.parts.ownInstance.current ?? request.instance;
+        if (instance !== "") {
+            headers.push(headerNames.expectedInstance, instance);
         }
         return headers;
     }
 
-    private outcomeOfFailure(sent: boolean, detail: string, abortReason: UnknownReason | undefined): Outcome {
-        if (!sent) {
-            return { kind: "not-run", reason: "not-connected", reached: false, retryAfterMs: RETRY_AFTER_LOSS_MS };
+    private readFailure(sent: boolean, detail: string, abortReason: UnknownReason | undefined): Outcome {
+        if (sent) {
+            return { kind: "unknown", reason: abortReason ?? "connection-lost", detail };
         }
-        return { kind: "unknown", reason: abortReason ?? "connection-lost", detail };
+        if (abortReason === undefined) {
+            this.downUntilMs = this.parts.clock.nowMs() + DOWN_MS;
+            this.parts.gate.setTrial(true);
+            this.parts.gate.refuseWaiting("server-down");
+        }
+        return NOT_CONNECTED;
     }
 
     /** Accepts an answer only if it is the whole answer to this very request. */
@@ -121,9 +139,9 @@
         if (status === MISDIRECTED_STATUS) {
             const instance = headers.get(headerNames.instance);
             if (instance !== undefined) {
-                this.parts.onInstance(instance);
+                this.parts.ownInstance.adoptTold(instance);
             }
-            return { kind: "not-run", reason: "other-instance", reached: false, retryAfterMs: 0 };
+            return { kind: "not-run", reason: "other-instance", reached: true, retryAfterMs: RETRY_AFTER_LOSS_MS };
         }
         if (headers.get(headerNames.notRun) !== undefined) {
             return { kind: "not-run", reason: "refused-by-server", reached: true, retryAfterMs: RETRY_AFTER_LOSS_MS };
@@ -135,6 +153,13 @@
     }
 }
 
+const NOT_CONNECTED: Outcome = {
+    kind: "not-run",
+    reason: "not-connected",
+    reached: false,
+    retryAfterMs: RETRY_AFTER_LOSS_MS,
+};
+
 /** One request in the gate or at the backend server. */
 class ServerRun {
     exchange: Exchange | undefined;
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -18,6 +18,7 @@
 import { LifeCycle } from "./life-cycle.js";
 import { MeshMetrics } from "./mesh-metrics.js";
 import { OrganisationQuota } from "./organisation-quota.js";
+import { OwnInstance } from "./own-instance.js";
 import { PeerHealth } from "./peer-health.js";
 import { Placement } from "./placement.js";
 import { RequestLog } from "./request-log.js";
@@ -70,6 +71,7 @@
     readonly log: RequestLog;
     private readonly lifeCycle = LifeCycle.create();
     private readonly gate: ServerGate;
+    private readonly ownInstance = OwnInstance.create();
     private readonly health: PeerHealth;
     private readonly placement: Placement;
     private readonly split = TrafficSplit.create();
@@ -210,13 +212,14 @@
             headerNames: settings.headerNames,
             hostAddress: settings.backendServer.address,
             port: settings.backendServer.port,
-            onInstance: instance => this.log.decision("own-server-is-another-instance", { instance }),
+            ownInstance: this.ownInstance,
         });
     }
 
     private peerServerParts(): Parameters<typeof createPeerServer>[0] {
         const { clock, server, gate, quota, lifeCycle, log } = this;
-        return { clock, server, gate, quota, lifeCycle, log, headerNames: this.settings.headerNames };
+        const { headerNames, service } = this.settings;
+        return { clock, server, gate, quota, lifeCycle, log, headerNames, ownService: service };
     }
 
     private callerServerParts(): Parameters<typeof createCallerServer>[0] {
@@ -266,6 +269,7 @@
     private followOwnServer(): void {
         const { address, port } = this.settings.backendServer;
         const own = this.directory.findAt(address, port);
+        this.ownInstance.adoptListed(own?.instance);
         if (own) {
             this.gate.setSlots(own.slots);
         }
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -24,7 +24,7 @@
     | { readonly kind: "refused"; readonly reason: GateRefusal; readonly retryAfterMs: number; };
 
 /** Why a gate refuses a request. */
-export type GateRefusal = "no-time-left" | "queue-too-long" | "leaving" | "caller-gone";
+export type GateRefusal = "no-time-left" | "queue-too-long" | "leaving" | "caller-gone" | "server-down";
 
 /** A request that was admitted or waits. */
 export interface GateTicket {
@@ -56,6 +56,7 @@
 /** Servers with fewer slots than this use them all. */
 const SLOTS_TO_KEEP_FREE_FROM = 12;
 const LIMIT_WITHOUT_SLOTS = 16;
+const TRIAL_LIMIT = 1;
 const EXPECTED_WITHOUT_RECORD_MS = 30;
 const RECORD_WEIGHT = 0.1;
 const RETRY_AFTER_AT_LEAST_MS = 100;
@@ -65,8 +66,9 @@
 /** Admission to one backend server. */
 export class ServerGate {
     private open = 0;
-    private limit = LIMIT_WITHOUT_SLOTS;
+    private slotLimit = LIMIT_WITHOUT_SLOTS;
     private leaving = false;
+    private trial = false;
     private readonly queues = new Map<number, Waiter[]>();
     private ranks: number[] = [];
     private waiting = 0;
@@ -81,21 +83,40 @@
 
     /** Sets the number of slots that the server has. */
     setSlots(slots: number): void {
-        this.limit = slots < SLOTS_TO_KEEP_FREE_FROM ? Math.max(1, slots) : Math.floor(slots * USED_PART_OF_SLOTS);
+        this.slotLimit = slots < SLOTS_TO_KEEP_FREE_FROM ? Math.max(1, slots) : Math.floor(slots * USED_PART_OF_SLOTS);
         this.admitWaiting();
     }
 
+    /** Lets in one request at a time while it is not known whether the server answers. */
+    setTrial(trial: boolean): void {
+        if (this.trial !== trial) {
+            this.trial = trial;
+            this.admitWaiting();
+        }
+    }
+
+    /** Refuses all requests that wait. */
+    refuseWaiting(reason: GateRefusal): void {
+        for (let waiter = this.takeNext(); waiter; waiter = this.takeNext()) {
+            this.refuse(waiter, reason, 0);
+        }
+    }
+
     /** Refuses all requests from now on, also those that wait, or takes requests again. */
     setLeaving(leaving: boolean): void {
         this.leaving = leaving;
         if (leaving) {
-            this.refuseAll();
+            this.refuseWaiting("leaving");
         }
     }
 
     /** Load as other nodes are told. */
     load(): GateLoad {
-        return { open: this.open, waiting: this.waiting, limit: this.limit };
+        return { open: this.open, waiting: this.waiting, limit: this.slotLimit };
+    }
+
+    private get limit(): number {
+        return this.trial ? TRIAL_LIMIT : this.slotLimit;
     }
 
     /** Mean time in ms that the server takes for requests of a route. */
@@ -245,12 +266,6 @@
             waiter.decide({ kind: "admitted", waitedMs: nowMs - waiter.sinceMs });
         }
     }
-
-    private refuseAll(): void {
-        for (let waiter = this.takeNext(); waiter; waiter = this.takeNext()) {
-            this.refuse(waiter, "leaving", 0);
-        }
-    }
 }
 
 /** Onward calls go before new requests of the same priority, as their parents have already cost something. */
--- a/packages/mesh/src/request/header-names.ts
+++ b/packages/mesh/src/request/header-names.ts
@@ -28,6 +28,7 @@
 
 /** Headers of forwarded requests, between nodes. */
 export const forwardHeader = {
+    service: "rr-service",
     instance: "rr-instance",
     route: "rr-route",
     priority: "rr-priority",
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -9,8 +9,10 @@
     | GateRefusal
     /** The backend server refused it and said that it did not run it. */
     | "refused-by-server"
-    /** Another backend server has the address. */
+    /** Another start of the backend server has the address. */
     | "other-instance"
+    /** The host has a backend server of another service. */
+    | "other-service"
     /** No connection could be opened. */
     | "not-connected";
 
