Add radishrouter trace: from a request's id to what nodes decided about it

Cause: on-call engineers have only log files; the story of a request is spread over the logs of several hosts. Change: trace reads log files, orders the lines about a request and its onward calls, and shows what the same hosts came to believe in the five seconds before; it says how many lines were left out.

--- a/packages/cli/src/command/command-line.ts
+++ b/packages/cli/src/command/command-line.ts
@@ -12,6 +12,7 @@
 import { formatExplanation, runExplain } from "./explain-command.js";
 import { presentReport, runReport } from "./report-command.js";
 import { collectStatus, formatStatus } from "./status-command.js";
+import { formatTrace, traceRequest } from "./trace-command.js";
 
 /** Where a command writes. */
 export interface CommandOutput {
@@ -54,6 +55,7 @@
     addExplainCommand(commandLine, output, finish);
     addReportCommand(commandLine, output, finish);
     addStatusCommands(commandLine, output, finish);
+    addTraceCommand(commandLine, output);
     commandLine.help(sections => [
         ...sections,
         {
@@ -195,3 +197,16 @@
             finish(audit.unreachable.length === 0 ? exitCodes.success : exitCodes.incomplete);
         });
 }
+
+function addTraceCommand(commandLine: CAC, output: CommandOutput): void {
+    commandLine.command("trace <request> [...files]", "Show what nodes logged about a request, from their log files")
+        .option("--json", "Print JSON")
+        .example("radishrouter trace 9c41d07be2a35f68 host-1.log host-2.log")
+        .action((request: string, files: string[], options: { json?: boolean; }) => {
+            if (files.length === 0) {
+                throw CommandError.create("name the log files of the nodes", exitCodes.usage);
+            }
+            const trace = traceRequest(String(request), files);
+            output.print(options.json ? JSON.stringify(trace) : formatTrace(trace, detectTableStyle()));
+        });
+}
--- /dev/null
+++ b/packages/cli/src/test/trace-command.test.ts
@@ -0,0 +1,54 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { formatTrace, traceRequest } from "../command/trace-command.js";
+
+const directory = mkdtempSync(join(tmpdir(), "radishrouter-trace-"));
+after(() => rmSync(directory, { recursive: true }));
+
+function logFile(name: string, lines: readonly Record<string, unknown>[]): string {
+    const file = join(directory, name);
+    writeFileSync(file, ["not a line of a node", ...lines.map(line => JSON.stringify(line))].join("\n"));
+    return file;
+}
+
+const entryLog = logFile("entry.log", [
+    { time: "2026-12-04T10:00:00.000Z", host: "a", event: "configuration-in-force", version: 7 },
+    { time: "2026-12-04T10:00:08.000Z", host: "a", event: "peer-lost", peer: "10.0.0.2", trouble: "silent" },
+    { time: "2026-12-04T10:00:09.300Z", host: "a", event: "request-ended", request: "abc", result: "overloaded" },
+    { time: "2026-12-04T10:00:09.400Z", host: "a", event: "request-ended", request: "other", result: "overloaded" },
+]);
+const serverLog = logFile("server.log", [
+    {
+        time: "2026-12-04T10:00:09.200Z",
+        host: "b",
+        event: "forwarded-request-not-answered",
+        request: "abc",
+        reason: "queue-too-long",
+        waiting: 9,
+    },
+    { time: "2026-12-04T10:00:09.250Z", host: "b", event: "lines-omitted", count: 4 },
+]);
+
+test("a request's decisions are found in the logs of all hosts, in order, with what these came to believe", () => {
+    const trace = traceRequest("abc", [entryLog, serverLog]);
+    assert.deepEqual(trace.decisions.map(({ host, event }) => `${host} ${event}`), [
+        "b forwarded-request-not-answered",
+        "a request-ended",
+    ]);
+    assert.deepEqual(trace.beliefs.map(({ event }) => event), ["peer-lost", "lines-omitted"]);
+    const text = formatTrace(trace, "tabs");
+    assert.match(text, /reason=queue-too-long waiting=9/);
+    assert.match(text, /left out by these hosts meanwhile: 4/);
+    assert.doesNotMatch(text, /other/);
+});
+
+test("a request that no log names is said to be missing", () => {
+    assert.throws(() => formatTrace(traceRequest("unknown", [entryLog]), "tabs"), /no line about this request/);
+});
+
+test("a log that cannot be read is named", () => {
+    assert.throws(() => traceRequest("abc", [join(directory, "missing.log")]), /missing\.log/);
+});
