--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -40,12 +40,15 @@
     private readonly buckets = new Map<string, Bucket>();
     private readonly holders = new Map<string, Holders>();
     private organisations = new Map<string, Organisation>();
+    private readonly startedAtMs: number;
 
     private constructor(
         private readonly clock: Clock,
         private readonly ownAddress: string,
         private readonly hosts: () => readonly string[],
-    ) {}
+    ) {
+        this.startedAtMs = clock.nowMs();
+    }
 
     /** A quota of the host at `ownAddress` in a fleet of `hosts`, which includes itself. */
     static create(clock: Clock, ownAddress: string, hosts: () => readonly string[]): OrganisationQuota {
@@ -146,24 +149,27 @@
     private bucketOf(organisation: Organisation): Bucket {
         let bucket = this.buckets.get(organisation.name);
         if (!bucket) {
-            const nowMs = this.clock.nowMs();
-            // A process that starts holds nothing, as the one before it may have used its part a moment ago.
+            // The process that ran here before may have used its part, but has minted nothing since this one started.
             bucket = {
                 tokens: 0,
-                filledAtMs: nowMs,
+                filledAtMs: this.startedAtMs,
                 ratePerSecond: 0,
                 burst: 0,
                 demandPerSecond: 0,
-                demandAtMs: nowMs,
+                demandAtMs: this.clock.nowMs(),
             };
+            this.setShare(organisation, bucket);
             this.buckets.set(organisation.name, bucket);
-            this.applyShare(organisation, bucket);
         }
         return bucket;
     }
 
     private applyShare(organisation: Organisation, bucket: Bucket): void {
         this.fill(bucket);
+        this.setShare(organisation, bucket);
+    }
+
+    private setShare(organisation: Organisation, bucket: Bucket): void {
         const { addresses, isOwnHolder } = this.holdersOf(organisation);
         bucket.ratePerSecond = isOwnHolder ? organisation.ratePerSecond / addresses.length : 0;
         bucket.burst = isOwnHolder ? organisation.burst / addresses.length : 0;
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -57,6 +57,7 @@
 const SLOTS_TO_KEEP_FREE_FROM = 12;
 const LIMIT_WITHOUT_SLOTS = 16;
 const TRIAL_LIMIT = 1;
+const ONWARD_CALL_RANK = -1;
 const EXPECTED_WITHOUT_RECORD_MS = 30;
 const RECORD_WEIGHT = 0.1;
 const RETRY_AFTER_AT_LEAST_MS = 100;
@@ -268,7 +269,7 @@
     }
 }
 
-/** Onward calls go before new requests of the same priority, as their parents have already cost something. */
+/** Onward calls go before new requests: their parents have already cost something, and may be of any priority. */
 function rankOf(request: GateRequest): number {
-    return request.priority * 2 + (request.isOnwardCall ? 0 : 1);
+    return request.isOnwardCall ? ONWARD_CALL_RANK : request.priority;
 }
