Join nodes by one link each in place of an HTTP request per forward

Change: nodes keep one connection to each peer that carries messages of the msgpackr library: request, cancel, outcome with load, tokens, ping and state. A link with open questions is pinged; 0.9 s without a sign of life make the peer silent, idempotent requests go elsewhere, others wait on.

Ruled out: sharing record layouts between messages; the stream decoder mistook them after the second message (path tests failed with 504).

--- /dev/null
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -0,0 +1,226 @@
+/**
+ * The connection of this node to one peer, with the questions that wait for an answer on it.
+ */
+import type { Clock, Timer } from "@radishrouter/core";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
+import { MessageSocket } from "./message-socket.js";
+
+/** End of a question. `sent` is false only if the peer cannot have got it. */
+export type LinkResult<Answer> =
+    | { readonly kind: "answered"; readonly answer: Answer; }
+    | { readonly kind: "lost"; readonly sent: boolean; readonly isSilent: boolean; };
+
+/** Parts of a link. */
+export interface PeerLinkParts {
+    readonly clock: Clock;
+    readonly address: string;
+    readonly port: number;
+    /** Called with what the peer tells of itself. */
+    readonly onState: (state: NodeState) => void;
+    /** Called once when the link can take no new questions. */
+    readonly onUnusable: (cause: "unreachable" | "silent" | "closed") => void;
+}
+
+/** A forwarded request that waits for its outcome. */
+export interface OpenForward {
+    readonly result: Promise<LinkResult<ForwardedOutcome>>;
+    /** Tells the peer that nobody waits any more. */
+    cancel(): void;
+}
+
+interface OpenQuestion {
+    /** Whether the question can be given up when the peer goes silent. */
+    readonly mayGiveUp: boolean;
+    readonly settle: (result: LinkResult<never>) => void;
+    readonly answer: (message: LinkMessage) => void;
+}
+
+type LinkStage = "connecting" | "open" | "silent" | "closed";
+
+const CONNECT_TIMEOUT_MS = 350;
+/** A peer with open questions is asked for a sign of life this often. */
+const PING_INTERVAL_MS = 250;
+/** Silence after which a peer counts as silent. */
+const SILENCE_MS = 900;
+
+/** One connection to a peer. */
+export class PeerLink {
+    private stage: LinkStage = "connecting";
+    private readonly socket: Socket;
+    private readonly messages: MessageSocket;
+    private readonly questions = new Map<number, OpenQuestion>();
+    private lastNumber = 0;
+    private heardAtMs: number;
+    private pingTimer: Timer | undefined;
+
+    private constructor(private readonly parts: PeerLinkParts) {
+        this.heardAtMs = parts.clock.nowMs();
+        this.socket = connect({ host: parts.address, port: parts.port, noDelay: true });
+        const connectTimer = parts.clock.setTimer(CONNECT_TIMEOUT_MS, () => this.socket.destroy());
+        this.socket.once("connect", () => {
+            connectTimer.cancel();
+            this.stage = "open";
+            this.heardAtMs = parts.clock.nowMs();
+        });
+        this.messages = MessageSocket.create(this.socket, {
+            onMessage: message => this.receive(message),
+            onClosed: () => {
+                connectTimer.cancel();
+                this.close();
+            },
+        });
+    }
+
+    static create(parts: PeerLinkParts): PeerLink {
+        return new PeerLink(parts);
+    }
+
+    /** Forwards a request. */
+    forward(request: ForwardedRequest, mayGiveUp: boolean): OpenForward {
+        const number = ++this.lastNumber;
+        const result = this.ask<ForwardedOutcome>(
+            { kind: "request", number, request },
+            mayGiveUp,
+            message => message.kind === "outcome" ? message.outcome : undefined,
+        );
+        return { result, cancel: () => this.cancel(number) };
+    }
+
+    /** Asks for tokens of an organisation. */
+    async askForTokens(organisation: string, wanted: number): Promise<number> {
+        const number = ++this.lastNumber;
+        const result = await this.ask<number>(
+            { kind: "ask-tokens", number, organisation, wanted },
+            true,
+            message => message.kind === "tokens" ? message.granted : undefined,
+        );
+        return result.kind === "answered" ? result.answer : 0;
+    }
+
+    /** Asks for a sign of life. */
+    ping(): void {
+        this.messages.send({ kind: "ping" });
+    }
+
+    /** Closes the link; what is open on it is lost. */
+    destroy(): void {
+        this.messages.destroy();
+    }
+
+    private ask<Answer>(
+        message: LinkMessage & { readonly number: number; },
+        mayGiveUp: boolean,
+        read: (message: LinkMessage) => Answer | undefined,
+    ): Promise<LinkResult<Answer>> {
+        if (this.stage === "closed") {
+            return Promise.resolve({ kind: "lost", sent: false, isSilent: false });
+        }
+        return new Promise(resolve => {
+            this.questions.set(message.number, {
+                mayGiveUp,
+                settle: resolve,
+                answer: reply => {
+                    const answer = read(reply);
+                    if (answer !== undefined) {
+                        resolve({ kind: "answered", answer });
+                    }
+                },
+            });
+            this.messages.send(message);
+            this.watchSilence();
+        });
+    }
+
+    private cancel(number: number): void {
+        const question = this.take(number);
+        if (question) {
+            this.messages.send({ kind: "cancel", number });
+            question.settle({ kind: "lost", sent: this.stage !== "connecting", isSilent: false });
+            this.closeIfDone();
+        }
+    }
+
+    private receive(message: LinkMessage): void {
+        this.heardAtMs = this.parts.clock.nowMs();
+        switch (message.kind) {
+            case "outcome":
+                this.parts.onState(message.state);
+                this.take(message.number)?.answer(message);
+                this.closeIfDone();
+                return;
+            case "tokens":
+                this.take(message.number)?.answer(message);
+                return;
+            case "state":
+                this.parts.onState(message.state);
+                return;
+            case "request":
+            case "cancel":
+            case "ask-tokens":
+            case "ping":
+                this.socket.destroy(new Error("a peer asked on a link of this node's own"));
+                return;
+        }
+    }
+
+    private take(number: number): OpenQuestion | undefined {
+        const question = this.questions.get(number);
+        this.questions.delete(number);
+        return question;
+    }
+
+    /** Pings while questions are open, until the peer has been silent for too long. */
+    private watchSilence(): void {
+        if (this.pingTimer) {
+            return;
+        }
+        this.heardAtMs = Math.max(this.heardAtMs, this.parts.clock.nowMs());
+        const tick = () => {
+            this.pingTimer = undefined;
+            if (this.stage === "silent" || this.stage === "closed" || this.questions.size === 0) {
+                return;
+            }
+            if (this.stage === "open" && this.parts.clock.nowMs() - this.heardAtMs > SILENCE_MS) {
+                this.giveUp();
+                return;
+            }
+            this.ping();
+            this.pingTimer = this.parts.clock.setTimer(PING_INTERVAL_MS, tick);
+        };
+        this.pingTimer = this.parts.clock.setTimer(PING_INTERVAL_MS, tick);
+    }
+
+    /** Gives up what may be given up; the rest waits on, as its answers may still come. */
+    private giveUp(): void {
+        this.stage = "silent";
+        for (const [number, question] of [...this.questions]) {
+            if (question.mayGiveUp) {
+                this.questions.delete(number);
+                question.settle({ kind: "lost", sent: true, isSilent: true });
+            }
+        }
+        this.parts.onUnusable("silent");
+        this.closeIfDone();
+    }
+
+    private closeIfDone(): void {
+        if (this.stage === "silent" && this.questions.size === 0) {
+            this.messages.destroy();
+        }
+    }
+
+    private close(): void {
+        const before = this.stage;
+        this.stage = "closed";
+        this.pingTimer?.cancel();
+        for (const question of this.questions.values()) {
+            question.settle({ kind: "lost", sent: before !== "connecting", isSilent: before === "silent" });
+        }
+        this.questions.clear();
+        if (before !== "silent") {
+            this.parts.onUnusable(before === "connecting" ? "unreachable" : "closed");
+        }
+    }
+}
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -1,19 +1,16 @@
 /**
- * Requests that other nodes forward to the backend server on this host.
+ * Takes messages of other nodes: requests for the backend server on this host, and questions for tokens.
  */
 import type { Clock } from "@radishrouter/core";
-import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:net";
+import type { Server, Socket } from "node:net";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { OrganisationQuota } from "../process/organisation-quota.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { ServerGate } from "../process/server-gate.js";
-import { answerHeader, forwardHeader, passOn } from "../request/header-names.js";
-import type { HeaderNames } from "../request/header-names.js";
 import type { Outcome, Send } from "../request/outcome.js";
-import type { ServerRequest } from "../request/relayed-request.js";
-import { readBody } from "./message-body.js";
-import { formatLoad, PROBE_PATH, PROGRESS_MS, TOKENS_PATH } from "./peer-client.js";
+import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
+import { MessageSocket } from "./message-socket.js";
 import type { ServerClient } from "./server-client.js";
 
 /** Parts that the listener works with. */
@@ -22,149 +19,141 @@
     readonly server: ServerClient;
     readonly gate: ServerGate;
     readonly quota: OrganisationQuota;
-    readonly headerNames: HeaderNames;
+    /** Service of the backend server on this host. */
     readonly ownService: string;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
 }
 
-const MAXIMUM_HEADER_BYTES = 65_536;
-const MAXIMUM_BODY_BYTES = 128 * 1024 * 1024;
-const IDLE_MS = 20_000;
-const OK_STATUS = 200;
-const NO_CONTENT_STATUS = 204;
-const NOT_FOUND_STATUS = 404;
-const UNAVAILABLE_STATUS = 503;
-
 /** An address that is used again can belong to a host of another service. */
 const OTHER_SERVICE: Outcome = { kind: "not-run", reason: "other-service", reached: false, retryAfterMs: 0 };
 
-/** Creates the server for requests of other nodes. */
-export function createPeerServer(parts: PeerServerParts): Server {
-    const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, (request, response) => {
-        if (request.headers[forwardHeader.route] !== undefined) {
-            void serve(parts, request, response);
-        }
-        else if (request.url?.startsWith(TOKENS_PATH)) {
-            giveTokens(parts, request.url, response);
-        }
-        else {
-            answerProbe(parts, request.url === PROBE_PATH, response);
-        }
-    });
-    server.keepAliveTimeout = IDLE_MS;
-    server.requestTimeout = 0;
-    return server;
-}
+/** Connections that other nodes have opened to this one. */
+export class PeerServer {
+    readonly listener: Server;
+    private readonly links = new Set<IncomingLink>();
 
-function answerProbe(parts: PeerServerParts, isProbe: boolean, response: ServerResponse): void {
-    const runningStatus = parts.lifeCycle.isStopping ? UNAVAILABLE_STATUS : OK_STATUS;
-    response.writeHead(isProbe ? runningStatus : NOT_FOUND_STATUS, ["content-length", "0"]);
-    response.end();
-}
+    private constructor(parts: PeerServerParts) {
+        this.listener = createServer({ noDelay: true }, socket => {
+            const link = IncomingLink.create(parts, socket, () => this.links.delete(link));
+            this.links.add(link);
+        });
+    }
+
+    static create(parts: PeerServerParts): PeerServer {
+        return new PeerServer(parts);
+    }
+
+    /** Tells all connected nodes the state of this one, as at the begin of a planned stop. */
+    announceState(): void {
+        this.links.forEach(link => link.sendState());
+    }
 
-function giveTokens(parts: PeerServerParts, url: string, response: ServerResponse): void {
-    const query = new URLSearchParams(url.slice(url.indexOf("?") + 1));
-    const granted = parts.quota.grant(query.get("organisation") ?? "", Number(query.get("wanted")));
-    const body = String(granted);
-    response.writeHead(OK_STATUS, ["content-length", String(body.length)]);
-    response.end(body);
+    /** Closes all connections. */
+    closeLinks(): void {
+        this.links.forEach(link => link.destroy());
+    }
 }
 
-async function serve(parts: PeerServerParts, request: IncomingMessage, response: ServerResponse): Promise<void> {
-    parts.lifeCycle.begin();
-    let send: Send | undefined = undefined;
-    let isSenderGone = false;
-    const progress = setInterval(() => response.writeProcessing(), PROGRESS_MS);
-    response.once("close", () => {
-        parts.lifeCycle.end();
-        clearInterval(progress);
-        isSenderGone = !response.writableFinished;
-        if (isSenderGone) {
-            send?.abort("caller-gone");
-        }
-    });
-    const receivedAtMs = parts.clock.nowMs();
-    const body = await readBody(request, MAXIMUM_BODY_BYTES);
-    if (body.kind !== "whole" || isSenderGone) {
-        clearInterval(progress);
-        response.destroy();
-        return;
+/** One connection of another node. */
+class IncomingLink {
+    private readonly messages: MessageSocket;
+    private readonly sends = new Map<number, Send>();
+
+    private constructor(private readonly parts: PeerServerParts, socket: Socket, onClosed: () => void) {
+        this.messages = MessageSocket.create(socket, {
+            onMessage: message => this.receive(message),
+            onClosed: () => {
+                onClosed();
+                this.sends.forEach(send => send.abort("caller-gone"));
+            },
+        });
     }
-    if (textOf(request.headers[forwardHeader.service]) !== parts.ownService) {
-        clearInterval(progress);
-        write(parts, request, response, OTHER_SERVICE);
-        return;
+
+    static create(parts: PeerServerParts, socket: Socket, onClosed: () => void): IncomingLink {
+        return new IncomingLink(parts, socket, onClosed);
     }
-    send = parts.server.send(readRequest(parts, request, body.body, receivedAtMs));
-    const outcome = await send.outcome;
-    clearInterval(progress);
-    if (!isSenderGone) {
-        write(parts, request, response, outcome);
+
+    sendState(): void {
+        this.messages.send({ kind: "state", state: this.state() });
     }
-}
 
-function readRequest(
-    parts: PeerServerParts,
-    request: IncomingMessage,
-    body: Buffer | undefined,
-    receivedAtMs: number,
-): ServerRequest {
-    const { headers } = request;
-    return {
-        id: textOf(headers[parts.headerNames.attemptId]),
-        method: request.method ?? "GET",
-        target: request.url ?? "/",
-        headers: passOn(request.rawHeaders, () => false),
-        body,
-        routeName: textOf(headers[forwardHeader.route]),
-        priority: Number(textOf(headers[forwardHeader.priority])) || 0,
-        isOnwardCall: headers[forwardHeader.onwardCall] !== undefined,
-        giveUpAtMs: receivedAtMs + (Number(textOf(headers[forwardHeader.remainingMs])) || 0),
-        answerByMs: receivedAtMs + (Number(textOf(headers[forwardHeader.answerInMs])) || 0),
-        instance: textOf(headers[forwardHeader.instance]),
-    };
-}
+    destroy(): void {
+        this.messages.destroy();
+    }
 
-function textOf(value: string | string[] | undefined): string {
-    return typeof value === "string" ? value : "";
-}
+    private receive(message: LinkMessage): void {
+        switch (message.kind) {
+            case "request":
+                void this.run(message.number, message.request);
+                return;
+            case "cancel":
+                this.sends.get(message.number)?.abort("caller-gone");
+                return;
+            case "ask-tokens": {
+                const granted = this.parts.quota.grant(message.organisation, message.wanted);
+                this.messages.send({ kind: "tokens", number: message.number, granted });
+                return;
+            }
+            case "ping":
+                this.sendState();
+                return;
+            case "outcome":
+            case "tokens":
+            case "state":
+                this.messages.destroy();
+                return;
+        }
+    }
 
-function write(parts: PeerServerParts, request: IncomingMessage, response: ServerResponse, outcome: Outcome): void {
-    const state = [answerHeader.load, formatLoad(parts.gate.load()), answerHeader.outcome, outcome.kind];
-    if (parts.lifeCycle.isStopping) {
-        state.push(answerHeader.stopping, "1", "connection", "close");
+    private async run(number: number, request: ForwardedRequest): Promise<void> {
+        const { parts } = this;
+        parts.lifeCycle.begin();
+        const send = this.start(request);
+        this.sends.set(number, send);
+        const outcome = await send.outcome;
+        this.sends.delete(number);
+        if (outcome.kind !== "answered") {
+            this.logEnd(request, outcome);
+        }
+        this.messages.send({ kind: "outcome", number, outcome: toForwarded(outcome), state: this.state() });
+        parts.lifeCycle.end();
     }
-    switch (outcome.kind) {
-        case "answered": {
-            const { status, headers, body } = outcome.response;
-            const fields = [...passOn(headers.fields, () => false), ...state, "content-length", String(body.length)];
-            response.writeHead(status, fields);
-            response.end(body);
-            return;
+
+    private start(request: ForwardedRequest): Send {
+        const { parts } = this;
+        if (request.service !== parts.ownService) {
+            return { outcome: Promise.resolve(OTHER_SERVICE), abort: () => undefined };
         }
-        case "not-run":
-            logEnd(parts, request, outcome.reason);
-            state.push(answerHeader.reached, outcome.reached ? "1" : "0");
-            state.push(answerHeader.retryAfterMs, String(Math.round(outcome.retryAfterMs)));
-            break;
-        case "unknown":
-            logEnd(parts, request, `${outcome.reason}: ${outcome.detail}`);
-            break;
+        const nowMs = parts.clock.nowMs();
+        return parts.server.send({
+            ...request,
+            giveUpAtMs: nowMs + request.remainingMs,
+            answerByMs: nowMs + request.answerInMs,
+        });
+    }
+
+    private state(): NodeState {
+        return { load: this.parts.gate.load(), isStopping: this.parts.lifeCycle.isStopping };
+    }
+
+    private logEnd(request: ForwardedRequest, outcome: Exclude<Outcome, { kind: "answered"; }>): void {
+        const { open, waiting, limit } = this.parts.gate.load();
+        this.parts.log.decision("forwarded-request-not-answered", {
+            request: request.id,
+            route: request.routeName,
+            reason: outcome.kind === "not-run" ? outcome.reason : `${outcome.reason}: ${outcome.detail}`,
+            open,
+            waiting,
+            limit,
+        });
     }
-    state.push(answerHeader.reason, outcome.reason);
-    response.writeHead(NO_CONTENT_STATUS, state);
-    response.end();
 }
 
-function logEnd(parts: PeerServerParts, request: IncomingMessage, reason: string): void {
-    const { open, waiting, limit } = parts.gate.load();
-    parts.log.decision("forwarded-request-not-answered", {
-        request: textOf(request.headers[parts.headerNames.attemptId]),
-        route: textOf(request.headers[forwardHeader.route]),
-        reason,
-        open,
-        waiting,
-        limit,
-    });
+function toForwarded(outcome: Outcome): ForwardedOutcome {
+    if (outcome.kind !== "answered") {
+        return outcome;
+    }
+    const { status, headers, body } = outcome.response;
+    return { kind: "answered", status, headers: headers.fields, body };
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -4,9 +4,10 @@
 import type { Clock } from "@radishrouter/core";
 import { SystemClock } from "@radishrouter/core";
 import type { Server } from "node:http";
+import type { Server as NetServer } from "node:net";
 import { applyIdleLimit, createCallerServer } from "../connection/caller-server.js";
 import { PeerClient } from "../connection/peer-client.js";
-import { createPeerServer } from "../connection/peer-server.js";
+import { PeerServer } from "../connection/peer-server.js";
 import { ServerClient } from "../connection/server-client.js";
 import { createMetricsServer, createReadinessServer } from "../connection/status-server.js";
 import { TokenBroker } from "../connection/token-broker.js";
@@ -80,6 +81,7 @@
     private readonly metrics: MeshMetrics;
     private readonly server: ServerClient;
     private readonly peers: PeerClient;
+    private readonly peerServer: PeerServer;
     private readonly broker: TokenBroker;
     private version: MeshVersion | undefined;
     private callerServer: Server | undefined;
@@ -105,8 +107,9 @@
             clock,
             health: this.health,
             peerPort: settings.peers.port,
-            onLoad: (server, load) => this.placement.report(server, load),
+            onLoad: (address, load) => this.placement.report(address, load),
         });
+        this.peerServer = this.createPeerServer();
         this.broker = TokenBroker.create({
             clock,
             quota: this.quota,
@@ -135,14 +138,14 @@
             ({ address, trouble }) =>
                 log.event(trouble === undefined ? "peer-regained" : "peer-lost", { peer: address, trouble }),
         );
-        await this.open(createPeerServer(this.peerServerParts()), settings.peers);
+        await this.open(this.peerServer.listener, settings.peers);
         const readiness = createReadinessServer(settings.readiness.path, () => this.isReady());
-        await this.open(readiness, settings.readiness);
+        await this.openHttp(readiness, settings.readiness);
         if (settings.metrics) {
-            await this.open(createMetricsServer(settings.metrics.path, this.metrics), settings.metrics);
+            await this.openHttp(createMetricsServer(settings.metrics.path, this.metrics), settings.metrics);
         }
         this.callerServer = createCallerServer(this.callerServerParts());
-        await this.open(this.callerServer, settings.callers);
+        await this.openHttp(this.callerServer, settings.callers);
     }
 
     /** Puts a configuration in force if it is newer than the one in force. */
@@ -168,17 +171,21 @@
         const { log, lifeCycle, settings, clock } = this;
         log.event("process-stopping", { cause, open: lifeCycle.open });
         lifeCycle.stop();
+        this.peerServer.announceState();
         const limitMs = settings.stopGraceMs - STOP_MARGIN_MS;
         const limit = this.delay(limitMs);
         const stoppedAtMs = clock.nowMs();
         await this.delay(Math.min(STOP_NOTICE_MS, limitMs));
+        this.peerServer.listener.close();
         this.listeners.forEach(listener => {
             listener.close();
             listener.closeIdleConnections();
         });
         await Promise.race([limit, lifeCycle.idle()]);
         this.listeners.forEach(listener => listener.closeAllConnections());
-        await Promise.all([this.server.close(), this.peers.close()]);
+        this.peerServer.closeLinks();
+        this.peers.close();
+        await this.server.close();
         log.event("process-stopped", { open: lifeCycle.open, tookMs: Math.round(clock.nowMs() - stoppedAtMs) });
         log.flush();
     }
@@ -216,10 +223,9 @@
         });
     }
 
-    private peerServerParts(): Parameters<typeof createPeerServer>[0] {
-        const { clock, server, gate, quota, lifeCycle, log } = this;
-        const { headerNames, service } = this.settings;
-        return { clock, server, gate, quota, lifeCycle, log, headerNames, ownService: service };
+    private createPeerServer(): PeerServer {
+        const { clock, server, gate, quota, lifeCycle, log, settings } = this;
+        return PeerServer.create({ clock, server, gate, quota, lifeCycle, log, ownService: settings.service });
     }
 
     private callerServerParts(): Parameters<typeof createCallerServer>[0] {
@@ -255,7 +261,7 @@
         const { server, kind, cause } = change;
         this.log.event(`server-${kind}`, { instance: server.instance, service: server.service, cause });
         if (kind === "left") {
-            this.placement.forget(server.instance);
+            this.placement.forget(server.hostAddress);
         }
         if (kind === "left" || kind === "joined") {
             this.quota.applyShares();
@@ -286,8 +292,12 @@
         this.isOwnServerLeaving = isLeaving;
     }
 
-    private async open(server: Server, at: ListenAddress): Promise<void> {
+    private async openHttp(server: Server, at: ListenAddress): Promise<void> {
         this.listeners.push(server);
+        await this.open(server, at);
+    }
+
+    private async open(server: NetServer, at: ListenAddress): Promise<void> {
         await new Promise<void>((resolve, reject) => {
             server.once("error", reject);
             server.listen(at.port, at.address, resolve);
--- a/packages/mesh/src/process/placement.ts
+++ b/packages/mesh/src/process/placement.ts
@@ -50,7 +50,7 @@
 const AVOID_AFTER_REFUSAL_MS = 60;
 const AVOID_AFTER_LOSS_MS = 400;
 
-/** Load of servers as this node sees it, and the choice among them. */
+/** Load of servers as this node sees it, by the address of their host, and the choice among them. */
 export class Placement {
     private readonly observations = new Map<string, Observation>();
 
@@ -87,9 +87,12 @@
         }
     }
 
-    /** Adopts the load that the node beside a server told. */
-    report(server: KnownServer, load: GateLoad): void {
-        const observation = this.observationOf(server);
+    /** Adopts the load that the node at an address told of the server beside it. */
+    report(hostAddress: string, load: GateLoad): void {
+        const observation = this.observations.get(hostAddress);
+        if (!observation) {
+            return;
+        }
         observation.limit = load.limit;
         observation.othersOpen = Math.max(0, load.open + load.waiting - observation.ownOpen);
         observation.reportedAtMs = this.clock.nowMs();
@@ -101,9 +104,9 @@
         this.observationOf(server).avoidUntilMs = this.clock.nowMs() + durationMs;
     }
 
-    /** Forgets servers that are gone. */
-    forget(instance: string): void {
-        this.observations.delete(instance);
+    /** Forgets the server at a host that is gone. */
+    forget(hostAddress: string): void {
+        this.observations.delete(hostAddress);
     }
 
     /** Estimated part of a server's slots that is in use; above 1 when requests wait. */
@@ -146,7 +149,7 @@
     }
 
     private observationOf(server: KnownServer): Observation {
-        let observation = this.observations.get(server.instance);
+        let observation = this.observations.get(server.hostAddress);
         if (!observation) {
             observation = {
                 ownOpen: 0,
@@ -156,7 +159,7 @@
                 failedPart: 0,
                 avoidUntilMs: 0,
             };
-            this.observations.set(server.instance, observation);
+            this.observations.set(server.hostAddress, observation);
         }
         return observation;
     }
--- a/packages/mesh/src/request/header-names.ts
+++ b/packages/mesh/src/request/header-names.ts
@@ -26,27 +26,6 @@
     readonly load: string;
 }
 
-/** Headers of forwarded requests, between nodes. */
-export const forwardHeader = {
-    service: "rr-service",
-    instance: "rr-instance",
-    route: "rr-route",
-    priority: "rr-priority",
-    remainingMs: "rr-remaining-ms",
-    answerInMs: "rr-answer-in-ms",
-    onwardCall: "rr-onward-call",
-} as const;
-
-/** Headers of answers to forwarded requests. */
-export const answerHeader = {
-    outcome: "rr-outcome",
-    reason: "rr-reason",
-    reached: "rr-reached",
-    retryAfterMs: "rr-retry-after-ms",
-    load: "rr-load",
-    stopping: "rr-stopping",
-} as const;
-
 const CONNECTION_HEADERS = new Set([
     "connection",
     "keep-alive",
@@ -60,20 +39,13 @@
     "http2-settings",
 ]);
 
-const INTERNAL_PREFIX = "rr-";
-
-/** Whether a header concerns only one connection, or only nodes. */
-export function isHopHeader(lowerCaseName: string): boolean {
-    return CONNECTION_HEADERS.has(lowerCaseName) || lowerCaseName.startsWith(INTERNAL_PREFIX);
-}
-
-/** Fields of a message that may be passed on: none of one connection only, and none that `isDropped` names. */
+/** Fields of a message that may be passed on: none that concern one connection only, and none that `isDropped` names. */
 export function passOn(fields: readonly string[], isDropped: (lowerCaseName: string) => boolean): string[] {
     const named = connectionOptions(fields);
     const kept: string[] = [];
     for (let index = 0; index < fields.length; index += 2) {
         const name = fields[index]!.toLowerCase();
-        if (!isHopHeader(name) && !named?.has(name) && !isDropped(name)) {
+        if (!CONNECTION_HEADERS.has(name) && !named?.has(name) && !isDropped(name)) {
             kept.push(fields[index]!, fields[index + 1]!);
         }
     }
--- a/packages/mesh/src/test/placement.test.ts
+++ b/packages/mesh/src/test/placement.test.ts
@@ -33,7 +33,8 @@
 
 test("a full failure domain sends what it cannot carry to others", () => {
     const placement = Placement.create(ManualClock.create(), () => 0);
-    placement.report(near, { open: 10, waiting: 5, limit: 10 });
+    placement.usedPart(near);
+    placement.report(near.hostAddress, { open: 10, waiting: 5, limit: 10 });
     assert.equal(placement.choose(createRequest([far, near]))?.instance, "far");
 });
 
@@ -51,7 +52,8 @@
 test("a report of load fades, so that a server that was full gets work again", () => {
     const clock = ManualClock.create();
     const placement = Placement.create(clock, () => 0);
-    placement.report(near, { open: 10, waiting: 0, limit: 10 });
+    placement.usedPart(near);
+    placement.report(near.hostAddress, { open: 10, waiting: 0, limit: 10 });
     assert.ok(placement.usedPart(near) > 0.9);
     clock.advance(2_000);
     assert.ok(placement.usedPart(near) < 0.1);
