Turn requests away at the entry when the chain or the node cannot carry them

Change: a route most of whose requests fail is admitted in proportion to what succeeded, with a part always; a node whose timers are late refuses new requests, the least important first. Both refuse before any work.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -5,8 +5,10 @@
 import { RequestError as Refusal } from "@radishrouter/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { ChainResult, ChainThrottle } from "../process/chain-throttle.js";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
+import type { ProcessorGuard } from "../process/processor-guard.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { HeaderNames } from "../request/header-names.js";
 import { passOn } from "../request/header-names.js";
@@ -27,6 +29,8 @@
     readonly version: () => MeshVersion | undefined;
     readonly lease: ConfigurationLease;
     readonly broker: TokenBroker;
+    readonly throttle: ChainThrottle;
+    readonly guard: ProcessorGuard;
     readonly split: TrafficSplit;
     readonly relay: RelayParts;
     readonly headerNames: HeaderNames;
@@ -49,6 +53,8 @@
 const RETRY_AFTER_WITHOUT_CONFIGURATION_MS = 500;
 const LONGEST_DEADLINE_MS = 600_000;
 const TIME_DIGITS = 3;
+const PERCENT = 100;
+const FIRST_FAILURE_STATUS = 500;
 /** Callers use a connection again until shortly before the idle limit, so it is closed a little after it. */
 const IDLE_SLACK_MS = 1_000;
 const FIRST_IDLE_LIMIT_MS = 60_000;
@@ -75,6 +81,8 @@
     private route: Route | undefined;
     private relay: Relay | undefined;
     private isCallerGone = false;
+    /** Whether the end of the request counts for the throttle of its route. */
+    private isThrottled = false;
 
     constructor(
         private readonly parts: CallerServerParts,
@@ -98,6 +106,7 @@
         });
         try {
             const admission = this.admit();
+            this.shed(admission);
             await this.keepWithinRate(admission.organisation);
             this.sendAnswer(await this.run(admission));
         }
@@ -141,6 +150,31 @@
         return organisation;
     }
 
+    /** Refuses a new request that this node or the services below its route cannot carry. */
+    private shed({ route, organisation, version }: Admission): void {
+        if (isOnwardCall(version, route)) {
+            return;
+        }
+        const { guard, throttle } = this.parts;
+        const guarded = guard.decide(organisation?.priority ?? route.priority);
+        if (guarded.kind === "refused") {
+            const detail = `this node is ${Math.round(guarded.lagMs)} ms behind`;
+            throw Refusal.create("overloaded", { detail, retryAfterMs: guarded.retryAfterMs });
+        }
+        const throttled = throttle.decide(route.name);
+        if (throttled.kind === "refused") {
+            const detail = `${Math.round(throttled.failedPart * PERCENT)}% of the route's requests failed lately`;
+            throw Refusal.create("downstream-overloaded", { detail, retryAfterMs: throttled.retryAfterMs });
+        }
+        this.isThrottled = true;
+    }
+
+    private recordForThrottle(result: ChainResult): void {
+        if (this.isThrottled && this.route) {
+            this.parts.throttle.record(this.route.name, result);
+        }
+    }
+
     private async keepWithinRate(organisation: Organisation | undefined): Promise<void> {
         if (!organisation) {
             return;
@@ -179,7 +213,7 @@
         const { route, organisation } = admission;
         const deadlineMs = this.startedAtMs + this.readDeadlineMs();
         const giveUpAtMs = Math.min(deadlineMs, this.startedAtMs + route.timeoutMs);
-        const isOnwardCall = route.isPublic || !admission.version.needsKeys;
+        const isCall = isOnwardCall(admission.version, route);
         const objectiveAtMs = this.startedAtMs + route.latencyObjectiveMs;
         return {
             id: this.id,
@@ -189,9 +223,9 @@
             body,
             route,
             priority: organisation?.priority ?? route.priority,
-            isOnwardCall,
+            isOnwardCall: isCall,
             giveUpAtMs,
-            answerByMs: isOnwardCall ? giveUpAtMs : Math.min(giveUpAtMs, objectiveAtMs),
+            answerByMs: isCall ? giveUpAtMs : Math.min(giveUpAtMs, objectiveAtMs),
         };
     }
 
@@ -223,7 +257,8 @@
         const { parts, response } = this;
         const elapsedMs = parts.clock.nowMs() - this.startedAtMs;
         parts.metrics.recordAnswer(this.route?.name ?? "", answer.status, elapsedMs);
-        if (answer.status >= 500) {
+        this.recordForThrottle(answer.status >= FIRST_FAILURE_STATUS ? "failed" : "succeeded");
+        if (answer.status >= FIRST_FAILURE_STATUS) {
             this.logEnd("request-failed-by-server", { status: answer.status });
         }
         else {
@@ -242,6 +277,9 @@
     private sendFailure(error: unknown): void {
         const { parts, response } = this;
         const failure = toRefusal(error);
+        if (failure.result.name === "deadline-exceeded") {
+            this.recordForThrottle("failed");
+        }
         parts.metrics.recordFailure(this.route?.name ?? "", failure.result.name);
         this.logEnd("request-ended", {
             result: failure.result.name,
@@ -288,6 +326,11 @@
     }
 }
 
+/** Onward calls carry no key; where keys are needed, public routes are theirs. */
+function isOnwardCall(version: MeshVersion, route: Route): boolean {
+    return version.needsKeys && route.isPublic;
+}
+
 function toRefusal(error: unknown): RequestError {
     return error instanceof Refusal ? error : Refusal.create("internal-error", { detail: String(error) });
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -3,11 +3,13 @@
  */
 export * from "./connection/http-exchange.js";
 export * from "./connection/token-broker.js";
+export * from "./process/chain-throttle.js";
 export * from "./process/mesh-node.js";
 export * from "./process/organisation-quota.js";
 export * from "./process/own-instance.js";
 export * from "./process/peer-health.js";
 export * from "./process/placement.js";
+export * from "./process/processor-guard.js";
 export * from "./process/request-log.js";
 export * from "./process/retry-allowance.js";
 export * from "./process/server-directory.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -16,12 +16,14 @@
 import type { MeshConfiguration } from "../version/mesh-configuration.js";
 import { MeshVersion } from "../version/mesh-version.js";
 import { TrafficSplit } from "../version/traffic-split.js";
+import { ChainThrottle } from "./chain-throttle.js";
 import { LifeCycle } from "./life-cycle.js";
 import { MeshMetrics } from "./mesh-metrics.js";
 import { OrganisationQuota } from "./organisation-quota.js";
 import { OwnInstance } from "./own-instance.js";
 import { PeerHealth } from "./peer-health.js";
 import { Placement } from "./placement.js";
+import { ProcessorGuard } from "./processor-guard.js";
 import { RequestLog } from "./request-log.js";
 import { RetryAllowance } from "./retry-allowance.js";
 import type { RetryBounds } from "./retry-allowance.js";
@@ -76,6 +78,8 @@
     private readonly health: PeerHealth;
     private readonly placement: Placement;
     private readonly split = TrafficSplit.create();
+    private readonly throttle: ChainThrottle;
+    private readonly guard: ProcessorGuard;
     private readonly quota: OrganisationQuota;
     private readonly allowances = new Map<string, RetryAllowance>();
     private readonly metrics: MeshMetrics;
@@ -94,6 +98,8 @@
         this.directory = ServerDirectory.create(clock);
         this.gate = ServerGate.create(clock);
         this.health = PeerHealth.create(clock);
+        this.throttle = ChainThrottle.create(clock);
+        this.guard = ProcessorGuard.create(clock);
         this.placement = Placement.create(clock);
         this.quota = OrganisationQuota.create(clock, settings.hostAddress, () => this.fleetHosts());
         this.metrics = MeshMetrics.create({
@@ -156,7 +162,9 @@
         }
         this.version = MeshVersion.create(configuration);
         this.quota.setOrganisations(configuration.organisations ?? []);
-        this.split.retain(new Set(configuration.routes.map(route => route.name)));
+        const routeNames = new Set(configuration.routes.map(route => route.name));
+        this.split.retain(routeNames);
+        this.throttle.retain(routeNames);
         if (this.callerServer) {
             applyIdleLimit(this.callerServer, configuration.limits.idleTimeoutMs);
         }
@@ -234,6 +242,8 @@
             clock,
             lease,
             broker,
+            throttle: this.throttle,
+            guard: this.guard,
             split,
             log,
             metrics,
