--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,7 +12,8 @@
     format: "esm",
     // Packages in the older module format expect a `require` function.
     banner: {
-        js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url); ' +
+        js: 'import { createRequire as createBundleRequire } from "node:module"; ' +
+            "const require = createBundleRequire(import.meta.url); " +
             "const __filename = import.meta.filename; const __dirname = import.meta.dirname;",
     },
 });
