Tell the entry how hard onward calls are to place, and throttle by that

Change: each node tells the part of its server's onward calls that was refused for want of room, with what the nodes below told; the entry admits new requests to a service by it, the least important first, and placement prefers servers with less of it. Pressure fades when calls cease.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -5,7 +5,6 @@
 import { RequestError as Refusal } from "@radishrouter/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { ChainResult, ChainThrottle } from "../process/chain-throttle.js";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
 import type { ProcessorGuard } from "../process/processor-guard.js";
@@ -29,7 +28,6 @@
     readonly version: () => MeshVersion | undefined;
     readonly lease: ConfigurationLease;
     readonly broker: TokenBroker;
-    readonly throttle: ChainThrottle;
     readonly guard: ProcessorGuard;
     readonly split: TrafficSplit;
     readonly relay: RelayParts;
@@ -81,8 +79,6 @@
     private route: Route | undefined;
     private relay: Relay | undefined;
     private isCallerGone = false;
-    /** Whether the end of the request counts for the throttle of its route. */
-    private isThrottled = false;
 
     constructor(
         private readonly parts: CallerServerParts,
@@ -106,9 +102,10 @@
         });
         try {
             const admission = this.admit();
-            this.shed(admission);
+            const service = this.parts.split.next(admission.route);
+            this.shed(admission, service);
             await this.keepWithinRate(admission.organisation);
-            this.sendAnswer(await this.run(admission));
+            this.sendAnswer(await this.run(admission, service));
         }
         catch (error) {
             this.sendFailure(error);
@@ -150,29 +147,23 @@
         return organisation;
     }
 
-    /** Refuses a new request that this node or the services below its route cannot carry. */
-    private shed({ route, organisation, version }: Admission): void {
+    /** Refuses a new request that this node or the services below its own cannot carry. */
+    private shed({ route, organisation, version }: Admission, service: string): void {
         if (isOnwardCall(version, route)) {
             return;
         }
-        const { guard, throttle } = this.parts;
-        const guarded = guard.decide(organisation?.priority ?? route.priority);
+        const priority = organisation?.priority ?? route.priority;
+        const guarded = this.parts.guard.decide(priority);
         if (guarded.kind === "refused") {
             const detail = `this node is ${Math.round(guarded.lagMs)} ms behind`;
             throw Refusal.create("overloaded", { detail, retryAfterMs: guarded.retryAfterMs });
         }
-        const throttled = throttle.decide(route.name);
+        const throttled = this.parts.relay.throttle.decide(service, priority);
         if (throttled.kind === "refused") {
-            const detail = `${Math.round(throttled.failedPart * PERCENT)}% of the route's requests failed lately`;
+            const detail = `${Math.round(throttled.pressure * PERCENT)}% of the onward calls of ${service} are ` +
+                `refused; ${Math.round(throttled.admittedPart * PERCENT)}% of its requests are admitted`;
             throw Refusal.create("downstream-overloaded", { detail, retryAfterMs: throttled.retryAfterMs });
         }
-        this.isThrottled = true;
-    }
-
-    private recordForThrottle(result: ChainResult): void {
-        if (this.isThrottled && this.route) {
-            this.parts.throttle.record(this.route.name, result);
-        }
     }
 
     private async keepWithinRate(organisation: Organisation | undefined): Promise<void> {
@@ -188,7 +179,7 @@
         }
     }
 
-    private async run(admission: Admission): Promise<ExchangeResponse> {
+    private async run(admission: Admission, service: string): Promise<ExchangeResponse> {
         const { parts } = this;
         const { maximumBodyBytes } = admission.version.configuration.limits;
         const body = await readBody(this.request, maximumBodyBytes);
@@ -199,7 +190,6 @@
                 throw Refusal.create("caller-gone", { execution: "not-run" });
             case "whole": {
                 const relayed = this.createRequest(admission, body.body);
-                const service = parts.split.next(admission.route);
                 this.relay = Relay.create(parts.relay, relayed, service);
                 if (this.isCallerGone) {
                     throw Refusal.create("caller-gone", { execution: "not-run" });
@@ -257,7 +247,6 @@
         const { parts, response } = this;
         const elapsedMs = parts.clock.nowMs() - this.startedAtMs;
         parts.metrics.recordAnswer(this.route?.name ?? "", answer.status, elapsedMs);
-        this.recordForThrottle(answer.status >= FIRST_FAILURE_STATUS ? "failed" : "succeeded");
         if (answer.status >= FIRST_FAILURE_STATUS) {
             this.logEnd("request-failed-by-server", { status: answer.status });
         }
@@ -277,9 +266,6 @@
     private sendFailure(error: unknown): void {
         const { parts, response } = this;
         const failure = toRefusal(error);
-        if (failure.result.name === "deadline-exceeded") {
-            this.recordForThrottle("failed");
-        }
         parts.metrics.recordFailure(this.route?.name ?? "", failure.result.name);
         this.logEnd("request-ended", {
             result: failure.result.name,
--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -43,6 +43,8 @@
 /** State of a node, told with what it sends. */
 export interface NodeState {
     readonly load: GateLoad;
+    /** Part of the onward calls of its backend server that is refused for want of room. */
+    readonly onwardPressure: number;
     /** Whether the node has begun a planned stop. */
     readonly isStopping: boolean;
 }
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -4,13 +4,12 @@
 import type { Clock } from "@radishrouter/core";
 import type { PeerHealth, PeerTrouble } from "../process/peer-health.js";
 import type { KnownServer } from "../process/server-directory.js";
-import type { GateLoad } from "../process/server-gate.js";
-import type { Outcome, Send, UnknownReason } from "../request/outcome.js";
+import type { Outcome, Send, SendResult, UnknownReason } from "../request/outcome.js";
 import type { RelayedRequest } from "../request/relayed-request.js";
 import { HeaderList } from "./http-exchange.js";
 import type { ForwardedOutcome, ForwardedRequest, NodeState } from "./link-message.js";
 import { PeerLink } from "./peer-link.js";
-import type { LinkResult } from "./peer-link.js";
+import type { ForwardAnswer, LinkResult } from "./peer-link.js";
 
 /** Parts of a client for peers. */
 export interface PeerClientParts {
@@ -18,8 +17,8 @@
     readonly health: PeerHealth;
     /** Port at which nodes take messages from each other. */
     readonly peerPort: number;
-    /** Called with the load that the node at an address told of its backend server. */
-    readonly onLoad: (address: string, load: GateLoad) => void;
+    /** Called with what the node at an address told of itself and its backend server. */
+    readonly onState: (address: string, state: NodeState) => void;
 }
 
 const PROBE_INTERVAL_MS = 300;
@@ -43,12 +42,12 @@
         let abortReason: UnknownReason | undefined;
         const link = this.linkTo(server.hostAddress);
         const forward = link.forward(this.forwarded(server, request), request.route.idempotent);
-        const outcome = forward.result.then(result => readResult(server.hostAddress, result, abortReason));
+        const result = forward.result.then(answer => readResult(server.hostAddress, answer, abortReason));
         const abort = (reason: UnknownReason) => {
             abortReason ??= reason;
             forward.cancel();
         };
-        return { outcome, abort };
+        return { result, abort };
     }
 
     /** Asks the node at an address for tokens of an organisation; resolves with those that it gave. */
@@ -94,13 +93,13 @@
     }
 
     private openLink(address: string): PeerLink {
-        const { clock, peerPort, onLoad } = this.parts;
+        const { clock, peerPort, onState } = this.parts;
         const link: PeerLink = PeerLink.create({
             clock,
             address,
             port: peerPort,
             onState: state => {
-                onLoad(address, state.load);
+                onState(address, state);
                 if (state.isStopping) {
                     this.avoid(address, "stopping");
                 }
@@ -158,16 +157,25 @@
 
 function readResult(
     address: string,
-    result: LinkResult<ForwardedOutcome>,
+    result: LinkResult<ForwardAnswer>,
     abortReason: UnknownReason | undefined,
-): Outcome {
+): SendResult {
     if (result.kind === "answered") {
-        return readOutcome(result.answer);
+        const { outcome, state } = result.answer;
+        return { outcome: readOutcome(outcome), onwardPressure: state.onwardPressure };
     }
-    if (!result.sent) {
+    return { outcome: outcomeOfLoss(address, result, abortReason), onwardPressure: undefined };
+}
+
+function outcomeOfLoss(
+    address: string,
+    loss: { readonly sent: boolean; readonly isSilent: boolean; },
+    abortReason: UnknownReason | undefined,
+): Outcome {
+    if (!loss.sent) {
         return { kind: "not-run", reason: "not-connected", reached: false, retryAfterMs: 0 };
     }
-    const reason = abortReason ?? (result.isSilent ? "silent" : "connection-lost");
+    const reason = abortReason ?? (loss.isSilent ? "silent" : "connection-lost");
     return { kind: "unknown", reason, detail: `the link to ${address} gave no answer` };
 }
 
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -23,9 +23,15 @@
     readonly onUnusable: (cause: "unreachable" | "silent" | "closed") => void;
 }
 
+/** Outcome of a forwarded request, and the state of the peer that told it. */
+export interface ForwardAnswer {
+    readonly outcome: ForwardedOutcome;
+    readonly state: NodeState;
+}
+
 /** A forwarded request that waits for its outcome. */
 export interface OpenForward {
-    readonly result: Promise<LinkResult<ForwardedOutcome>>;
+    readonly result: Promise<LinkResult<ForwardAnswer>>;
     /** Tells the peer that nobody waits any more. */
     cancel(): void;
 }
@@ -80,10 +86,10 @@
     /** Forwards a request. */
     forward(request: ForwardedRequest, mayGiveUp: boolean): OpenForward {
         const number = ++this.lastNumber;
-        const result = this.ask<ForwardedOutcome>(
+        const result = this.ask<ForwardAnswer>(
             { kind: "request", number, request },
             mayGiveUp,
-            message => message.kind === "outcome" ? message.outcome : undefined,
+            message => message.kind === "outcome" ? { outcome: message.outcome, state: message.state } : undefined,
         );
         return { result, cancel: () => this.cancel(number) };
     }
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -5,6 +5,7 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import type { LifeCycle } from "../process/life-cycle.js";
+import type { OnwardPressure } from "../process/onward-pressure.js";
 import type { OrganisationQuota } from "../process/organisation-quota.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { ServerGate } from "../process/server-gate.js";
@@ -19,6 +20,7 @@
     readonly server: ServerClient;
     readonly gate: ServerGate;
     readonly quota: OrganisationQuota;
+    readonly onwardPressure: OnwardPressure;
     /** Service of the backend server on this host. */
     readonly ownService: string;
     readonly lifeCycle: LifeCycle;
@@ -111,7 +113,7 @@
         parts.lifeCycle.begin();
         const send = this.start(request);
         this.sends.set(number, send);
-        const outcome = await send.outcome;
+        const { outcome } = await send.result;
         this.sends.delete(number);
         if (outcome.kind !== "answered") {
             this.logEnd(request, outcome);
@@ -123,7 +125,8 @@
     private start(request: ForwardedRequest): Send {
         const { parts } = this;
         if (request.service !== parts.ownService) {
-            return { outcome: Promise.resolve(OTHER_SERVICE), abort: () => undefined };
+            const result = { outcome: OTHER_SERVICE, onwardPressure: undefined };
+            return { result: Promise.resolve(result), abort: () => undefined };
         }
         const nowMs = parts.clock.nowMs();
         return parts.server.send({
@@ -134,7 +137,12 @@
     }
 
     private state(): NodeState {
-        return { load: this.parts.gate.load(), isStopping: this.parts.lifeCycle.isStopping };
+        const { gate, onwardPressure, lifeCycle } = this.parts;
+        return {
+            load: gate.load(),
+            onwardPressure: onwardPressure.current(),
+            isStopping: lifeCycle.isStopping,
+        };
     }
 
     private logEnd(request: ForwardedRequest, outcome: Exclude<Outcome, { kind: "answered"; }>): void {
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -2,10 +2,11 @@
  * Sends requests to the backend server beside this node, as its gate admits them.
  */
 import type { Clock } from "@radishrouter/core";
+import type { OnwardPressure } from "../process/onward-pressure.js";
 import type { OwnInstance } from "../process/own-instance.js";
 import type { GateTicket, ServerGate } from "../process/server-gate.js";
 import type { HeaderNames } from "../request/header-names.js";
-import type { Outcome, Send, UnknownReason } from "../request/outcome.js";
+import type { Outcome, Send, SendResult, UnknownReason } from "../request/outcome.js";
 import type { ServerRequest } from "../request/relayed-request.js";
 import { ExchangePool } from "./http-exchange.js";
 import type { Exchange, ExchangeResponse } from "./http-exchange.js";
@@ -18,6 +19,7 @@
     readonly hostAddress: string;
     readonly port: number;
     readonly ownInstance: OwnInstance;
+    readonly onwardPressure: OnwardPressure;
 }
 
 const MAXIMUM_CONNECTIONS = 512;
@@ -51,7 +53,7 @@
     /** Sends one request; its outcome says whether it ran. */
     send(request: ServerRequest): Send {
         if (this.parts.clock.nowMs() < this.downUntilMs) {
-            return { outcome: Promise.resolve(NOT_CONNECTED), abort: () => undefined };
+            return { result: Promise.resolve(this.withPressure(NOT_CONNECTED)), abort: () => undefined };
         }
         const ticket = this.parts.gate.enter({
             route: request.routeName,
@@ -60,7 +62,8 @@
             answerByMs: request.answerByMs,
         });
         const run = new ServerRun(ticket);
-        return { outcome: this.run(request, run), abort: reason => run.abort(reason) };
+        const result = this.run(request, run).then(outcome => this.withPressure(outcome));
+        return { result, abort: reason => run.abort(reason) };
     }
 
     /** Closes all connections. */
@@ -68,6 +71,10 @@
         await this.pool.destroy();
     }
 
+    private withPressure(outcome: Outcome): SendResult {
+        return { outcome, onwardPressure: this.parts.onwardPressure.current() };
+    }
+
     private async run(request: ServerRequest, run: ServerRun): Promise<Outcome> {
         const decision = await run.ticket.decision;
         if (decision.kind === "refused") {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -5,6 +5,7 @@
 export * from "./connection/token-broker.js";
 export * from "./process/chain-throttle.js";
 export * from "./process/mesh-node.js";
+export * from "./process/onward-pressure.js";
 export * from "./process/organisation-quota.js";
 export * from "./process/own-instance.js";
 export * from "./process/peer-health.js";
--- a/packages/mesh/src/process/chain-throttle.ts
+++ b/packages/mesh/src/process/chain-throttle.ts
@@ -1,40 +1,52 @@
 /**
- * Turns requests away at the entry when most requests of their route fail further down the chain.
+ * Turns new requests away at the entry when the services below cannot carry them.
  *
- * Answers a load that a service below cannot carry: a request that will fail there has cost all services above it.
- * No mark tells which calls belong to which request, so the entry learns from what becomes of its own requests. It
- * admits in proportion to what succeeded lately, and always some, so that it notices when the chain recovers.
+ * Answers a load that a deep service cannot carry: a request needs all of its calls, so when a part of the calls is
+ * refused, most requests fail after they have cost all services above. The nodes beside the servers tell how hard
+ * their onward calls are to place; the entry admits less until that is rare, the least important requests first.
  */
 import type { Clock } from "@radishrouter/core";
 
-/** Outcome of an admitted request as far as it speaks for the chain below. */
-export type ChainResult = "succeeded" | "failed";
-
 /** Whether a request is admitted. */
 export type ThrottleDecision =
     | { readonly kind: "admitted"; }
-    | { readonly kind: "refused"; readonly failedPart: number; readonly retryAfterMs: number; };
+    | {
+        readonly kind: "refused";
+        readonly pressure: number;
+        readonly admittedPart: number;
+        readonly retryAfterMs: number;
+    };
+
+interface PriorityClass {
+    /** Part of its requests that is admitted. */
+    admittedPart: number;
+    readonly pressureLimit: number;
+}
 
-interface RouteRecord {
-    offered: number;
-    succeeded: number;
-    failed: number;
-    atMs: number;
+interface ServiceRecord {
+    readonly classes: readonly PriorityClass[];
+    samples: number;
+    total: number;
+    adjustedAtMs: number;
+    lastPressure: number;
 }
 
-const HALF_LIFE_MS = 700;
-/** Requests are admitted up to this multiple of those that succeeded. */
-const ADMITTED_PER_SUCCESS = 2;
-/** With fewer requests than this, nothing is concluded. */
-const LEAST_OFFERED = 12;
-const LEAST_ADMITTED_PART = 0.1;
-const RETRY_AFTER_MS = 700;
+/** Part of the calls that may be refused before requests of each priority are turned away, most important first. */
+const PRESSURE_LIMITS = [0.2, 0.1, 0.04] as const;
+const ADJUST_INTERVAL_MS = 150;
+const LEAST_SAMPLES = 2;
+const GROWTH = 1.12;
+const GROWTH_STEP = 0.01;
+const LARGEST_CUT = 0.3;
+/** Some requests are always admitted, as they tell when the chain recovers. */
+const LEAST_ADMITTED_PART = 0.08;
+const RETRY_AFTER_MS = 600;
 
 const ADMITTED: ThrottleDecision = { kind: "admitted" };
 
-/** Admission by the success of the requests of each route. */
+/** Admission of new requests by the pressure below the service that they go to. */
 export class ChainThrottle {
-    private readonly routes = new Map<string, RouteRecord>();
+    private readonly services = new Map<string, ServiceRecord>();
 
     private constructor(private readonly clock: Clock, private readonly random: () => number) {}
 
@@ -42,62 +54,63 @@
         return new ChainThrottle(clock, random);
     }
 
-    /** Decides about a request of a route. */
-    decide(route: string): ThrottleDecision {
-        const record = this.recordOf(route);
-        record.offered++;
-        const admittedPart = this.admittedPart(record);
-        if (this.random() < admittedPart) {
+    /** Decides about a new request to a service by its priority; 0 is the most important. */
+    decide(service: string, priority: number): ThrottleDecision {
+        const record = this.services.get(service);
+        if (!record) {
+            return ADMITTED;
+        }
+        this.adjust(record);
+        const { admittedPart } = record.classes[Math.min(priority, record.classes.length - 1)]!;
+        if (admittedPart >= 1 || this.random() < admittedPart) {
             return ADMITTED;
         }
-        const ended = record.succeeded + record.failed;
         const retryAfterMs = RETRY_AFTER_MS * (1 + this.random());
-        return { kind: "refused", failedPart: record.failed / Math.max(1, ended), retryAfterMs };
+        return { kind: "refused", pressure: record.lastPressure, admittedPart, retryAfterMs };
     }
 
-    /** Records what became of an admitted request. */
-    record(route: string, result: ChainResult): void {
-        const record = this.recordOf(route);
-        switch (result) {
-            case "succeeded":
-                record.succeeded++;
-                return;
-            case "failed":
-                record.failed++;
+    /** Records the pressure that was told with the outcome of a request. */
+    record(service: string, pressure: number): void {
+        let record = this.services.get(service);
+        if (!record) {
+            if (pressure <= 0) {
                 return;
-        }
-    }
-
-    /** Forgets routes that are no longer published. */
-    retain(names: ReadonlySet<string>): void {
-        for (const name of this.routes.keys()) {
-            if (!names.has(name)) {
-                this.routes.delete(name);
             }
+            record = createRecord(this.clock.nowMs());
+            this.services.set(service, record);
         }
+        record.samples++;
+        record.total += pressure;
+        this.adjust(record);
     }
 
-    /** Nothing is turned away before most requests that have ended failed. */
-    private admittedPart(record: RouteRecord): number {
-        if (record.offered < LEAST_OFFERED || record.failed <= record.succeeded) {
-            return 1;
+    private adjust(record: ServiceRecord): void {
+        const nowMs = this.clock.nowMs();
+        if (nowMs - record.adjustedAtMs < ADJUST_INTERVAL_MS) {
+            return;
         }
-        const part = ADMITTED_PER_SUCCESS * (record.succeeded + 1) / record.offered;
-        return Math.min(1, Math.max(LEAST_ADMITTED_PART, part));
+        const steps = Math.floor((nowMs - record.adjustedAtMs) / ADJUST_INTERVAL_MS);
+        const pressure = record.samples >= LEAST_SAMPLES ? record.total / record.samples : 0;
+        record.lastPressure = pressure;
+        record.classes.forEach(priorityClass => adjustClass(priorityClass, pressure, steps));
+        record.samples = 0;
+        record.total = 0;
+        record.adjustedAtMs = nowMs;
     }
+}
 
-    private recordOf(route: string): RouteRecord {
-        const nowMs = this.clock.nowMs();
-        let record = this.routes.get(route);
-        if (!record) {
-            record = { offered: 0, succeeded: 0, failed: 0, atMs: nowMs };
-            this.routes.set(route, record);
-        }
-        const remaining = 0.5 ** ((nowMs - record.atMs) / HALF_LIFE_MS);
-        record.offered *= remaining;
-        record.succeeded *= remaining;
-        record.failed *= remaining;
-        record.atMs = nowMs;
-        return record;
+function createRecord(nowMs: number): ServiceRecord {
+    const classes = PRESSURE_LIMITS.map(pressureLimit => ({ admittedPart: 1, pressureLimit }));
+    return { classes, samples: 0, total: 0, adjustedAtMs: nowMs, lastPressure: 0 };
+}
+
+function adjustClass(priorityClass: PriorityClass, pressure: number, steps: number): void {
+    if (pressure > priorityClass.pressureLimit) {
+        const cut = Math.min(LARGEST_CUT, pressure);
+        priorityClass.admittedPart = Math.max(LEAST_ADMITTED_PART, priorityClass.admittedPart * (1 - cut));
+        return;
+    }
+    for (let step = 0; step < steps && priorityClass.admittedPart < 1; step++) {
+        priorityClass.admittedPart = Math.min(1, priorityClass.admittedPart * GROWTH + GROWTH_STEP);
     }
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -19,6 +19,7 @@
 import { ChainThrottle } from "./chain-throttle.js";
 import { LifeCycle } from "./life-cycle.js";
 import { MeshMetrics } from "./mesh-metrics.js";
+import { OnwardPressure } from "./onward-pressure.js";
 import { OrganisationQuota } from "./organisation-quota.js";
 import { OwnInstance } from "./own-instance.js";
 import { PeerHealth } from "./peer-health.js";
@@ -79,6 +80,7 @@
     private readonly placement: Placement;
     private readonly split = TrafficSplit.create();
     private readonly throttle: ChainThrottle;
+    private readonly onwardPressure: OnwardPressure;
     private readonly guard: ProcessorGuard;
     private readonly quota: OrganisationQuota;
     private readonly allowances = new Map<string, RetryAllowance>();
@@ -99,6 +101,7 @@
         this.gate = ServerGate.create(clock);
         this.health = PeerHealth.create(clock);
         this.throttle = ChainThrottle.create(clock);
+        this.onwardPressure = OnwardPressure.create(clock);
         this.guard = ProcessorGuard.create(clock);
         this.placement = Placement.create(clock);
         this.quota = OrganisationQuota.create(clock, settings.hostAddress, () => this.fleetHosts());
@@ -113,7 +116,7 @@
             clock,
             health: this.health,
             peerPort: settings.peers.port,
-            onLoad: (address, load) => this.placement.report(address, load),
+            onState: (address, { load, onwardPressure }) => this.placement.report(address, load, onwardPressure),
         });
         this.peerServer = this.createPeerServer();
         this.broker = TokenBroker.create({
@@ -162,9 +165,7 @@
         }
         this.version = MeshVersion.create(configuration);
         this.quota.setOrganisations(configuration.organisations ?? []);
-        const routeNames = new Set(configuration.routes.map(route => route.name));
-        this.split.retain(routeNames);
-        this.throttle.retain(routeNames);
+        this.split.retain(new Set(configuration.routes.map(route => route.name)));
         if (this.callerServer) {
             applyIdleLimit(this.callerServer, configuration.limits.idleTimeoutMs);
         }
@@ -228,12 +229,14 @@
             hostAddress: settings.backendServer.address,
             port: settings.backendServer.port,
             ownInstance: this.ownInstance,
+            onwardPressure: this.onwardPressure,
         });
     }
 
     private createPeerServer(): PeerServer {
-        const { clock, server, gate, quota, lifeCycle, log, settings } = this;
-        return PeerServer.create({ clock, server, gate, quota, lifeCycle, log, ownService: settings.service });
+        const { clock, server, gate, quota, onwardPressure, lifeCycle, log, settings } = this;
+        const { service: ownService } = settings;
+        return PeerServer.create({ clock, server, gate, quota, onwardPressure, lifeCycle, log, ownService });
     }
 
     private callerServerParts(): Parameters<typeof createCallerServer>[0] {
@@ -242,7 +245,6 @@
             clock,
             lease,
             broker,
-            throttle: this.throttle,
             guard: this.guard,
             split,
             log,
@@ -261,6 +263,8 @@
                 health: this.health,
                 server: this.server,
                 peers: this.peers,
+                onwardPressure: this.onwardPressure,
+                throttle: this.throttle,
                 allowanceOf: service => this.allowanceOf(service),
                 isOwnServerLeaving: () => this.isOwnServerLeaving,
             },
--- a/packages/mesh/src/process/placement.ts
+++ b/packages/mesh/src/process/placement.ts
@@ -17,6 +17,8 @@
     /** Requests of others that were open or waiting at the last report. */
     othersOpen: number;
     limit: number;
+    /** Part of the server's onward calls that was refused at the last report. */
+    onwardPressure: number;
     reportedAtMs: number;
     /** Part of the last sends that the server failed. */
     failedPart: number;
@@ -88,13 +90,14 @@
     }
 
     /** Adopts the load that the node at an address told of the server beside it. */
-    report(hostAddress: string, load: GateLoad): void {
+    report(hostAddress: string, load: GateLoad, onwardPressure: number): void {
         const observation = this.observations.get(hostAddress);
         if (!observation) {
             return;
         }
         observation.limit = load.limit;
         observation.othersOpen = Math.max(0, load.open + load.waiting - observation.ownOpen);
+        observation.onwardPressure = onwardPressure;
         observation.reportedAtMs = this.clock.nowMs();
     }
 
@@ -112,8 +115,7 @@
     /** Estimated part of a server's slots that is in use; above 1 when requests wait. */
     usedPart(server: KnownServer): number {
         const observation = this.observationOf(server);
-        const ageMs = this.clock.nowMs() - observation.reportedAtMs;
-        const othersOpen = observation.othersOpen * 0.5 ** (ageMs / REPORT_HALF_LIFE_MS);
+        const othersOpen = observation.othersOpen * this.weightOfReport(observation);
         return (observation.ownOpen + othersOpen) / observation.limit;
     }
 
@@ -139,13 +141,18 @@
         return this.cost(left, origin) <= this.cost(right, origin) ? left : right;
     }
 
+    private weightOfReport(observation: Observation): number {
+        return 0.5 ** ((this.clock.nowMs() - observation.reportedAtMs) / REPORT_HALF_LIFE_MS);
+    }
+
     private cost(server: KnownServer, origin: PlacementOrigin): number {
         const observation = this.observationOf(server);
         const isCold = server.coldUntilMs > this.clock.nowMs();
         return this.usedPart(server) +
             (server.failureDomain === origin.failureDomain ? 0 : FARTHER_DOMAIN_COST) +
             (isCold ? COLD_COST : 0) +
-            observation.failedPart * FAILING_COST;
+            observation.failedPart * FAILING_COST +
+            observation.onwardPressure * this.weightOfReport(observation);
     }
 
     private observationOf(server: KnownServer): Observation {
@@ -155,6 +162,7 @@
                 ownOpen: 0,
                 othersOpen: 0,
                 limit: Math.max(1, server.slots),
+                onwardPressure: 0,
                 reportedAtMs: this.clock.nowMs(),
                 failedPart: 0,
                 avoidUntilMs: 0,
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -24,7 +24,14 @@
     | "timeout"
     | "caller-gone";
 
-/** Result of one send. */
+/** Result of one send, and what the node beside the server told with it. */
+export interface SendResult {
+    readonly outcome: Outcome;
+    /** Part of the server's onward calls that is refused for want of room; undefined when nothing was told. */
+    readonly onwardPressure: number | undefined;
+}
+
+/** What became of one send. */
 export type Outcome =
     | { readonly kind: "answered"; readonly response: ExchangeResponse; }
     | {
@@ -38,11 +45,23 @@
 
 /** A send that runs. */
 export interface Send {
-    readonly outcome: Promise<Outcome>;
+    readonly result: Promise<SendResult>;
     /** Gives the send up. */
     abort(reason: UnknownReason): void;
 }
 
+/** Whether a request was refused because there was no room for it. */
+export function isWantOfRoom(outcome: Outcome): boolean {
+    return outcome.kind === "not-run" && ROOM_REASONS.has(outcome.reason);
+}
+
+const ROOM_REASONS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+    "queue-too-long",
+    "no-time-left",
+    "not-connected",
+    "server-down",
+]);
+
 /** Whether an answer is a failure that the backend server made itself. */
 export function isServerFailure(response: ExchangeResponse): boolean {
     return response.status >= 500;
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -7,12 +7,14 @@
 import type { ExchangeResponse } from "../connection/http-exchange.js";
 import type { PeerClient } from "../connection/peer-client.js";
 import type { ServerClient } from "../connection/server-client.js";
+import type { ChainThrottle } from "../process/chain-throttle.js";
+import type { OnwardPressure } from "../process/onward-pressure.js";
 import type { PeerHealth } from "../process/peer-health.js";
 import type { Placement, SendVerdict } from "../process/placement.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { RetryAllowance } from "../process/retry-allowance.js";
 import type { KnownServer, ServerDirectory } from "../process/server-directory.js";
-import { isServerFailure } from "./outcome.js";
+import { isServerFailure, isWantOfRoom } from "./outcome.js";
 import type { Outcome, Send, UnknownReason } from "./outcome.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
@@ -27,6 +29,8 @@
     readonly server: ServerClient;
     readonly peers: PeerClient;
     readonly log: RequestLog;
+    readonly onwardPressure: OnwardPressure;
+    readonly throttle: ChainThrottle;
     readonly allowanceOf: (service: string) => RetryAllowance;
     /** Whether the node beside the own backend server takes no new work for it. */
     readonly isOwnServerLeaving: () => boolean;
@@ -128,8 +132,9 @@
         this.tried.add(server.instance);
         placement.start(server);
         this.current = this.startSend(server);
-        const outcome = await this.current.outcome;
+        const { outcome, onwardPressure } = await this.current.result;
         this.current = undefined;
+        this.recordPressure(server, outcome, onwardPressure);
         placement.end(server, verdictOf(outcome));
         this.recordOutcome(server, outcome);
         return outcome;
@@ -143,6 +148,19 @@
         return parts.server.send({ ...request, routeName: request.route.name, instance: server.instance });
     }
 
+    private recordPressure(server: KnownServer, outcome: Outcome, onwardPressure: number | undefined): void {
+        if (this.ended === "caller-gone") {
+            return;
+        }
+        const pressure = isWantOfRoom(outcome) ? 1 : onwardPressure ?? 0;
+        if (this.request.isOnwardCall) {
+            this.parts.onwardPressure.record(pressure);
+        }
+        else if (onwardPressure !== undefined) {
+            this.parts.throttle.record(server.service, onwardPressure);
+        }
+    }
+
     private recordOutcome(server: KnownServer, outcome: Outcome): void {
         switch (outcome.kind) {
             case "answered":
