Notice a silent peer after 0.55 s, and ping only quiet links

Change: a link with open questions that has said nothing for 0.15 s is pinged, and counts as silent after 0.55 s, unless this process is late itself, as what the peer said may then wait unread.

--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -47,9 +47,11 @@
 
 const CONNECT_TIMEOUT_MS = 350;
 /** A peer with open questions is asked for a sign of life this often. */
-const PING_INTERVAL_MS = 250;
+const PING_INTERVAL_MS = 150;
 /** Silence after which a peer counts as silent. */
-const SILENCE_MS = 900;
+const SILENCE_MS = 550;
+/** When this process is so late itself, what a peer said may not have been read yet. */
+const OWN_DELAY_MS = 80;
 
 /** One connection to a peer. */
 export class PeerLink {
@@ -183,19 +185,29 @@
             return;
         }
         this.heardAtMs = Math.max(this.heardAtMs, this.parts.clock.nowMs());
-        const tick = () => {
-            this.pingTimer = undefined;
-            if (this.stage === "silent" || this.stage === "closed" || this.questions.size === 0) {
-                return;
-            }
-            if (this.stage === "open" && this.parts.clock.nowMs() - this.heardAtMs > SILENCE_MS) {
-                this.giveUp();
-                return;
-            }
+        this.scheduleTick();
+    }
+
+    private scheduleTick(): void {
+        const dueAtMs = this.parts.clock.nowMs() + PING_INTERVAL_MS;
+        this.pingTimer = this.parts.clock.setTimer(PING_INTERVAL_MS, () => this.tick(dueAtMs));
+    }
+
+    private tick(dueAtMs: number): void {
+        this.pingTimer = undefined;
+        if (this.stage === "silent" || this.stage === "closed" || this.questions.size === 0) {
+            return;
+        }
+        const nowMs = this.parts.clock.nowMs();
+        const silentMs = nowMs - this.heardAtMs;
+        if (this.stage === "open" && silentMs > SILENCE_MS && nowMs - dueAtMs < OWN_DELAY_MS) {
+            this.giveUp();
+            return;
+        }
+        if (silentMs >= PING_INTERVAL_MS) {
             this.ping();
-            this.pingTimer = this.parts.clock.setTimer(PING_INTERVAL_MS, tick);
-        };
-        this.pingTimer = this.parts.clock.setTimer(PING_INTERVAL_MS, tick);
+        }
+        this.scheduleTick();
     }
 
     /** Gives up what may be given up; the rest waits on, as its answers may still come. */
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -2,6 +2,9 @@
  * The request path of a node whose configuration and hosts are handed in by the embedding program.
  */
 export * from "./connection/http-exchange.js";
+export * from "./connection/link-message.js";
+export * from "./connection/message-socket.js";
+export * from "./connection/peer-link.js";
 export * from "./connection/token-broker.js";
 export * from "./process/chain-throttle.js";
 export * from "./process/mesh-node.js";
