Ask those turned away to return after about as long as the overload has lasted

Calls that a server refused as not run for want of room did not count as pressure.

Change: the time to return grows with the time since the throttle began, from 0.6 to 4 s, and is spread by half. Refusals by the server count.

--- a/packages/mesh/src/process/chain-throttle.ts
+++ b/packages/mesh/src/process/chain-throttle.ts
@@ -29,6 +29,8 @@
     total: number;
     adjustedAtMs: number;
     lastPressure: number;
+    /** Time at which requests began to be turned away; undefined while all are admitted. */
+    throttledSinceMs: number | undefined;
 }
 
 /** Part of the calls that may be refused before requests of each priority are turned away, most important first. */
@@ -40,7 +42,10 @@
 const LARGEST_CUT = 0.3;
 /** Some requests are always admitted, as they tell when the chain recovers. */
 const LEAST_ADMITTED_PART = 0.08;
-const RETRY_AFTER_MS = 600;
+const RETRY_AFTER_AT_LEAST_MS = 600;
+const RETRY_AFTER_AT_MOST_MS = 4_000;
+/** A refused request comes back spread over this part of its waiting time more. */
+const RETRY_SPREAD = 0.5;
 
 const ADMITTED: ThrottleDecision = { kind: "admitted" };
 
@@ -65,7 +70,7 @@
         if (admittedPart >= 1 || this.random() < admittedPart) {
             return ADMITTED;
         }
-        const retryAfterMs = RETRY_AFTER_MS * (1 + this.random());
+        const retryAfterMs = this.retryAfterMs(record);
         return { kind: "refused", pressure: record.lastPressure, admittedPart, retryAfterMs };
     }
 
@@ -84,6 +89,13 @@
         this.adjust(record);
     }
 
+    /** An overload that has lasted for long is expected to last on for about as long. */
+    private retryAfterMs(record: ServiceRecord): number {
+        const lastedMs = this.clock.nowMs() - (record.throttledSinceMs ?? this.clock.nowMs());
+        const leastMs = Math.min(RETRY_AFTER_AT_MOST_MS, Math.max(RETRY_AFTER_AT_LEAST_MS, lastedMs));
+        return leastMs * (1 + this.random() * RETRY_SPREAD);
+    }
+
     private adjust(record: ServiceRecord): void {
         const nowMs = this.clock.nowMs();
         if (nowMs - record.adjustedAtMs < ADJUST_INTERVAL_MS) {
@@ -93,6 +105,8 @@
         const pressure = record.samples >= LEAST_SAMPLES ? record.total / record.samples : 0;
         record.lastPressure = pressure;
         record.classes.forEach(priorityClass => adjustClass(priorityClass, pressure, steps));
+        const isThrottled = record.classes.some(({ admittedPart }) => admittedPart < 1);
+        record.throttledSinceMs = isThrottled ? record.throttledSinceMs ?? nowMs : undefined;
         record.samples = 0;
         record.total = 0;
         record.adjustedAtMs = nowMs;
@@ -101,7 +115,7 @@
 
 function createRecord(nowMs: number): ServiceRecord {
     const classes = PRESSURE_LIMITS.map(pressureLimit => ({ admittedPart: 1, pressureLimit }));
-    return { classes, samples: 0, total: 0, adjustedAtMs: nowMs, lastPressure: 0 };
+    return { classes, samples: 0, total: 0, adjustedAtMs: nowMs, lastPressure: 0, throttledSinceMs: undefined };
 }
 
 function adjustClass(priorityClass: PriorityClass, pressure: number, steps: number): void {
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -60,6 +60,7 @@
     "no-time-left",
     "not-connected",
     "server-down",
+    "refused-by-server",
 ]);
 
 /** Whether an answer is a failure that the backend server made itself. */
--- a/packages/mesh/src/test/entry-admission.test.ts
+++ b/packages/mesh/src/test/entry-admission.test.ts
@@ -76,6 +76,22 @@
     assert.deepEqual(played.at(-1)?.admitted, [50, 50]);
 });
 
+test("the longer an overload has lasted, the later those turned away are asked to return", () => {
+    const clock = ManualClock.create();
+    const throttle = ChainThrottle.create(clock, () => 0.99);
+    const returnTimesMs: number[] = [];
+    for (let step = 0; step < 100; step++) {
+        throttle.record("catalogue", 0.9);
+        const decision = throttle.decide("catalogue", 2);
+        if (decision.kind === "refused") {
+            returnTimesMs.push(decision.retryAfterMs);
+        }
+        clock.advance(50);
+    }
+    assert.ok(returnTimesMs[0]! < 1_000, `${returnTimesMs[0]}`);
+    assert.ok(returnTimesMs.at(-1)! > 4_000 && returnTimesMs.at(-1)! <= 6_000, `${returnTimesMs.at(-1)}`);
+});
+
 test("without pressure nobody is turned away", () => {
     const clock = ManualClock.create();
     const throttle = ChainThrottle.create(clock, createRandom());
