Take out fields of the configuration that nothing uses

Cause: read as a newcomer: services with their connection limit and the name of the load header were decoded and never used; the gate keeps fewer requests open than a server has slots, so that its connections stay far below the limit.

--- a/packages/mesh/src/request/header-names.ts
+++ b/packages/mesh/src/request/header-names.ts
@@ -22,8 +22,6 @@
     readonly notRun: string;
     /** Mark of a backend server on its answers. */
     readonly signature: string;
-    /** Load of a backend server: running, waiting and slots. */
-    readonly load: string;
 }
 
 const CONNECTION_HEADERS = new Set([
--- a/packages/mesh/src/test/example-values.ts
+++ b/packages/mesh/src/test/example-values.ts
@@ -48,7 +48,6 @@
     return {
         version: 1,
         routes: [createRoute()],
-        services: [{ name: "catalogue", maximumConnections: 100 }],
         organisations: undefined,
         limits: {
             maximumHeaderBytes: 16_384,
--- a/packages/mesh/src/version/mesh-configuration.ts
+++ b/packages/mesh/src/version/mesh-configuration.ts
@@ -1,5 +1,5 @@
 /**
- * What operators publish for a mesh: routes, services, organisations and limits for callers.
+ * What operators publish for a mesh: routes, organisations and limits for callers.
  */
 
 /** One part of the traffic of a route. */
@@ -30,13 +30,6 @@
     readonly isPublic: boolean;
 }
 
-/** A service and the bounds of its backend servers. */
-export interface Service {
-    readonly name: string;
-    /** Connections that one backend server accepts. */
-    readonly maximumConnections: number;
-}
-
 /** A customer with the keys that stand for it. */
 export interface Organisation {
     readonly name: string;
@@ -61,7 +54,6 @@
 export interface MeshConfiguration {
     readonly version: number;
     readonly routes: readonly Route[];
-    readonly services: readonly Service[];
     /** Undefined when requests need no key at all. */
     readonly organisations: readonly Organisation[] | undefined;
     readonly limits: CallerLimits;
--- a/packages/mesh/src/version/mesh-version.ts
+++ b/packages/mesh/src/version/mesh-version.ts
@@ -2,7 +2,7 @@
  * One configuration version with the indexes that requests are decided by.
  */
 import { createHash } from "node:crypto";
-import type { MeshConfiguration, Organisation, Service } from "./mesh-configuration.js";
+import type { MeshConfiguration, Organisation } from "./mesh-configuration.js";
 import { RouteTable } from "./route-table.js";
 
 /** SHA-256 of a caller's key, in hexadecimal. */
@@ -13,12 +13,10 @@
 /** Configuration version in force, indexed. */
 export class MeshVersion {
     readonly routes: RouteTable;
-    private readonly services: ReadonlyMap<string, Service>;
     private readonly organisationsByKey: ReadonlyMap<string, Organisation>;
 
     private constructor(readonly configuration: MeshConfiguration) {
         this.routes = RouteTable.create(configuration.routes);
-        this.services = new Map(configuration.services.map(service => [service.name, service]));
         const organisations = configuration.organisations ?? [];
         this.organisationsByKey = new Map(
             organisations.flatMap(organisation => organisation.keyHashes.map(hash => [hash, organisation] as const)),
@@ -34,11 +32,6 @@
         return this.configuration.organisations !== undefined;
     }
 
-    /** Published bounds of a service; undefined for an unknown one. */
-    service(name: string): Service | undefined {
-        return this.services.get(name);
-    }
-
     /** Organisation that a key belongs to in this version. */
     organisationOfKey(key: string): Organisation | undefined {
         return this.organisationsByKey.get(hashKey(key));
