Refuse other services' requests for the own server too, and end late waits

A former server's entry at an address that was used again made the node there place its own caller's request at its own server, which is of another service; the check stood on the way from peers only. Also a request that waited at the gate was refused only when a slot became free, so its node gave it up first, as unknown, with 504.

Change: the client of the own server checks the service for both ways. The gate refuses a waiting request when its time has run out.

--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -21,15 +21,10 @@
     readonly gate: ServerGate;
     readonly quota: OrganisationQuota;
     readonly onwardPressure: OnwardPressure;
-    /** Service of the backend server on this host. */
-    readonly ownService: string;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
 }
 
-/** An address that is used again can belong to a host of another service. */
-const OTHER_SERVICE: Outcome = { kind: "not-run", reason: "other-service", reached: false, retryAfterMs: 0 };
-
 /** Connections that other nodes have opened to this one. */
 export class PeerServer {
     readonly listener: Server;
@@ -124,10 +119,6 @@
 
     private start(request: ForwardedRequest): Send {
         const { parts } = this;
-        if (request.service !== parts.ownService) {
-            const result = { outcome: OTHER_SERVICE, onwardPressure: undefined };
-            return { result: Promise.resolve(result), abort: () => undefined };
-        }
         const nowMs = parts.clock.nowMs();
         return parts.server.send({
             ...request,
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -18,6 +18,8 @@
     readonly headerNames: HeaderNames;
     readonly hostAddress: string;
     readonly port: number;
+    /** Service of the backend server on this host. */
+    readonly ownService: string;
     readonly ownInstance: OwnInstance;
     readonly onwardPressure: OnwardPressure;
 }
@@ -52,8 +54,11 @@
 
     /** Sends one request; its outcome says whether it ran. */
     send(request: ServerRequest): Send {
+        if (request.service !== this.parts.ownService) {
+            return this.refuse(OTHER_SERVICE);
+        }
         if (this.parts.clock.nowMs() < this.downUntilMs) {
-            return { result: Promise.resolve(this.withPressure(NOT_CONNECTED)), abort: () => undefined };
+            return this.refuse(NOT_CONNECTED);
         }
         const ticket = this.parts.gate.enter({
             route: request.routeName,
@@ -71,6 +76,10 @@
         await this.pool.destroy();
     }
 
+    private refuse(outcome: Outcome): Send {
+        return { result: Promise.resolve(this.withPressure(outcome)), abort: () => undefined };
+    }
+
     private withPressure(outcome: Outcome): SendResult {
         return { outcome, onwardPressure: this.parts.onwardPressure.current() };
     }
@@ -160,6 +169,9 @@
     }
 }
 
+/** An address that is used again can belong to a host of another service. */
+const OTHER_SERVICE: Outcome = { kind: "not-run", reason: "other-service", reached: false, retryAfterMs: 0 };
+
 const NOT_CONNECTED: Outcome = {
     kind: "not-run",
     reason: "not-connected",
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -228,15 +228,15 @@
             headerNames: settings.headerNames,
             hostAddress: settings.backendServer.address,
             port: settings.backendServer.port,
+            ownService: settings.service,
             ownInstance: this.ownInstance,
             onwardPressure: this.onwardPressure,
         });
     }
 
     private createPeerServer(): PeerServer {
-        const { clock, server, gate, quota, onwardPressure, lifeCycle, log, settings } = this;
-        const { service: ownService } = settings;
-        return PeerServer.create({ clock, server, gate, quota, onwardPressure, lifeCycle, log, ownService });
+        const { clock, server, gate, quota, onwardPressure, lifeCycle, log } = this;
+        return PeerServer.create({ clock, server, gate, quota, onwardPressure, lifeCycle, log });
     }
 
     private callerServerParts(): Parameters<typeof createCallerServer>[0] {
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -4,7 +4,7 @@
  * Answers a load above what the server can run: all requests reach the server through this gate, so it sees the whole
  * load of the server and keeps the number of open requests within what the server has slots for.
  */
-import type { Clock } from "@radishrouter/core";
+import type { Clock, Timer } from "@radishrouter/core";
 
 /** What the gate has to know about a request. */
 export interface GateRequest {
@@ -49,6 +49,8 @@
     readonly sinceMs: number;
     state: "waiting" | "admitted" | "ended";
     decide: (decision: GateDecision) => void;
+    /** Ends the wait when no time is left. */
+    timer: Timer | undefined;
 }
 
 /** Services that slow down when nearly full do so above this part of their slots. */
@@ -133,6 +135,7 @@
             sinceMs: this.clock.nowMs(),
             state: "waiting",
             decide: () => undefined,
+            timer: undefined,
         };
         const end = (outcome: GateOutcome) => this.end(waiter, outcome);
         const refusal = this.refusalOf(request);
@@ -147,6 +150,7 @@
         const decision = new Promise<GateDecision>(decide => {
             waiter.decide = decide;
             this.push(waiter);
+            this.refuseWhenLate(waiter);
         });
         return { decision, end };
     }
@@ -154,6 +158,7 @@
     private end(waiter: Waiter, outcome: GateOutcome): void {
         const { state } = waiter;
         waiter.state = "ended";
+        waiter.timer?.cancel();
         switch (state) {
             case "waiting":
                 this.remove(waiter);
@@ -173,11 +178,27 @@
 
     private admit(waiter: Waiter): void {
         waiter.state = "admitted";
+        waiter.timer?.cancel();
         this.open++;
     }
 
+    /** A request that can no longer be answered in time is refused at once, while it certainly has not run. */
+    private refuseWhenLate(waiter: Waiter): void {
+        const { route, answerByMs } = waiter.request;
+        waiter.timer = this.clock.setTimer(answerByMs - this.expectedMs(route) - this.clock.nowMs(), () => {
+            if (this.remove(waiter)) {
+                this.refuse(waiter, "no-time-left", this.shortRetryAfterMs());
+            }
+        });
+    }
+
+    private shortRetryAfterMs(): number {
+        return RETRY_AFTER_AT_LEAST_MS * (1 + this.random());
+    }
+
     private refuse(waiter: Waiter, reason: GateRefusal, retryAfterMs: number): void {
         waiter.state = "ended";
+        waiter.timer?.cancel();
         waiter.decide({ kind: "refused", reason, retryAfterMs });
     }
 
@@ -259,8 +280,7 @@
             }
             const nowMs = this.clock.nowMs();
             if (nowMs + this.expectedMs(waiter.request.route) > waiter.request.answerByMs) {
-                const retryAfterMs = RETRY_AFTER_AT_LEAST_MS * (1 + this.random());
-                this.refuse(waiter, "no-time-left", retryAfterMs);
+                this.refuse(waiter, "no-time-left", this.shortRetryAfterMs());
                 continue;
             }
             this.admit(waiter);
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -145,7 +145,8 @@
         if (server.hostAddress !== parts.hostAddress) {
             return parts.peers.send(server, request);
         }
-        return parts.server.send({ ...request, routeName: request.route.name, instance: server.instance });
+        const { service, instance } = server;
+        return parts.server.send({ ...request, routeName: request.route.name, service, instance });
     }
 
     private recordPressure(server: KnownServer, outcome: Outcome, onwardPressure: number | undefined): void {
--- a/packages/mesh/src/request/relayed-request.ts
+++ b/packages/mesh/src/request/relayed-request.ts
@@ -34,6 +34,7 @@
     readonly isOnwardCall: boolean;
     readonly giveUpAtMs: number;
     readonly answerByMs: number;
-    /** Backend server that the sender chose. */
+    /** Service and instance of the backend server that the sender chose. */
+    readonly service: string;
     readonly instance: string;
 }
--- a/packages/mesh/src/test/server-gate.test.ts
+++ b/packages/mesh/src/test/server-gate.test.ts
@@ -71,6 +71,24 @@
     assert.deepEqual(gate.load(), { open: 1, waiting: 0, limit: 1 });
 });
 
+test("a request that waits until its time has run out is refused then, not when a slot is free", async () => {
+    const clock = ManualClock.create();
+    const { gate } = createFullGate(clock, 1);
+    const waiting = gate.enter(createGateRequest({ answerByMs: 500 }));
+    const decisions: GateDecision[] = [];
+    void waiting.decision.then(made => decisions.push(made));
+    clock.advance(450);
+    await Promise.resolve();
+    assert.equal(decisions.length, 0);
+    clock.advance(50);
+    await Promise.resolve();
+    assert.deepEqual(
+        decisions.map(decision => decision.kind === "refused" && decision.reason),
+        ["no-time-left"],
+    );
+    assert.deepEqual(gate.load(), { open: 1, waiting: 0, limit: 1 });
+});
+
 test("ending a ticket twice frees its slot once", () => {
     const clock = ManualClock.create();
     const { gate, running } = createFullGate(clock, 2);
