--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -54,6 +54,8 @@
     private retryAfterMs = 0;
     /** Whether a send ended without its outcome being known. */
     private mayHaveRun = false;
+    /** Failure that a server answered and that no other server has replaced by something better. */
+    private failedAnswer: ExchangeResponse | undefined;
     private lastReason = "no backend server is known";
 
     private constructor(
@@ -100,6 +102,7 @@
                 if (!this.shouldReplace(outcome.response)) {
                     return outcome.response;
                 }
+                this.failedAnswer = outcome.response;
                 this.noteRepeat(server, `answered ${outcome.response.status}`);
                 continue;
             }
@@ -107,6 +110,9 @@
                 break;
             }
         }
+        if (this.failedAnswer && this.ended !== "caller-gone") {
+            return this.failedAnswer;
+        }
         throw this.failure();
     }
 
