Count what is read within half a second of waking as having waited

Traced: a woken process reads its backlog later than the 100 ms in which PauseWatch counts it.

Change: 500 ms. A new test of PauseWatch at 300 ms fails with 100 ms.

--- a/packages/core/src/process/pause-watch.ts
+++ b/packages/core/src/process/pause-watch.ts
@@ -8,7 +8,7 @@
 /** Gap between two ticks that counts as a pause. */
 const PAUSE_MS = 1_000;
 /** Time after waking in which what is read may have arrived during the pause. */
-const BACKLOG_MS = 100;
+const BACKLOG_MS = 500;
 
 /** Compares the time between ticks with their interval; also notices a pause before the first tick after it. */
 export class PauseWatch {
