--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -52,16 +52,10 @@
 
     /** Asks the node at an address for tokens of an organisation; resolves with those that it gave. */
     async askForTokens(address: string, organisation: string, wanted: number): Promise<number> {
-        // Tokens that come too late are lost.
         const answer = this.linkTo(address).askForTokens(organisation, wanted);
-        let cancelWait = () => undefined as void;
-        const tooLate = new Promise<number>(resolve => {
-            const timer = this.parts.clock.setTimer(TOKENS_TIMEOUT_MS, () => resolve(0));
-            cancelWait = () => timer.cancel();
-        });
-        const granted = await Promise.race([answer, tooLate]);
-        cancelWait();
-        return granted;
+        // Tokens that come too late are lost.
+        const tooLate = this.delay(TOKENS_TIMEOUT_MS).then(() => 0);
+        return await Promise.race([answer, tooLate]);
     }
 
     /** Closes all links. */
