Take no refusal by a server itself for want of room

Change: they do not count; the gate keeps fewer requests open than the server has slots, so such a refusal is a fault. The times to return stay.

--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -50,7 +50,10 @@
     abort(reason: UnknownReason): void;
 }
 
-/** Whether a request was refused because there was no room for it. */
+/**
+ * Whether a request was refused because there was no room for it. A refusal by the server itself is no such sign: the
+ * gate keeps fewer requests open than the server has slots.
+ */
 export function isWantOfRoom(outcome: Outcome): boolean {
     return outcome.kind === "not-run" && ROOM_REASONS.has(outcome.reason);
 }
@@ -60,7 +63,6 @@
     "no-time-left",
     "not-connected",
     "server-down",
-    "refused-by-server",
 ]);
 
 /** Whether an answer is a failure that the backend server made itself. */
