Read the change once more: one name, one check, one set of headers

The split by weight bore the platform's name outside platform/: it is WeightedSplit now. The caller's server told a server's failure by a status of its own beside isServerFailure, imported one error class under two names, and made the set of replaced headers anew for each request.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -1,8 +1,8 @@
 /**
  * Requests of callers and of the backend server on this host: which route, whose key, within which rate, until when.
  */
-import type { Clock, RequestError } from "@radishrouter/core";
-import { RequestError as Refusal } from "@radishrouter/core";
+import type { Clock } from "@radishrouter/core";
+import { RequestError } from "@radishrouter/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { LifeCycle } from "../process/life-cycle.js";
@@ -11,13 +11,14 @@
 import type { RequestLog } from "../process/request-log.js";
 import type { HeaderNames } from "../request/header-names.js";
 import { passOn } from "../request/header-names.js";
+import { isServerFailure } from "../request/outcome.js";
 import { Relay } from "../request/relay.js";
 import type { RelayParts } from "../request/relay.js";
 import type { RelayedRequest } from "../request/relayed-request.js";
 import type { ConfigurationLease } from "../version/configuration-lease.js";
 import type { Organisation, Route } from "../version/mesh-configuration.js";
 import type { MeshVersion } from "../version/mesh-version.js";
-import type { TrafficSplit } from "../version/traffic-split.js";
+import type { WeightedSplit } from "../version/weighted-split.js";
 import type { ExchangeResponse } from "./http-exchange.js";
 import { readBody } from "./message-body.js";
 import type { TokenBroker } from "./token-broker.js";
@@ -29,7 +30,7 @@
     readonly lease: ConfigurationLease;
     readonly broker: TokenBroker;
     readonly guard: ProcessorGuard;
-    readonly split: TrafficSplit;
+    readonly split: WeightedSplit;
     readonly relay: RelayParts;
     readonly headerNames: HeaderNames;
     /** Service of the backend server on this host. */
@@ -52,15 +53,16 @@
 const LONGEST_DEADLINE_MS = 600_000;
 const TIME_DIGITS = 3;
 const PERCENT = 100;
-const FIRST_FAILURE_STATUS = 500;
 /** Callers use a connection again until shortly before the idle limit, so it is closed a little after it. */
 const IDLE_SLACK_MS = 1_000;
 const FIRST_IDLE_LIMIT_MS = 60_000;
 
 /** Creates the server for callers on this host. */
 export function createCallerServer(parts: CallerServerParts): Server {
+    const { key, deadline, organisation, callerService, expectedInstance } = parts.headerNames;
+    const replacedHeaders = new Set([key, deadline, organisation, callerService, expectedInstance]);
     const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, (request, response) => {
-        void new CallerExchange(parts, request, response).serve();
+        void new CallerExchange(parts, replacedHeaders, request, response).serve();
     });
     server.keepAliveTimeout = FIRST_IDLE_LIMIT_MS;
     server.requestTimeout = 0;
@@ -82,6 +84,8 @@
 
     constructor(
         private readonly parts: CallerServerParts,
+        /** Headers that nodes set themselves, or keep from backend servers. */
+        private readonly replacedHeaders: ReadonlySet<string>,
         private readonly request: IncomingMessage,
         private readonly response: ServerResponse,
     ) {
@@ -116,12 +120,14 @@
         const { parts, request } = this;
         const version = parts.version();
         if (!version) {
-            throw Refusal.create("configuration-missing", { retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS });
+            throw RequestError.create("configuration-missing", { retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS });
         }
         const target = request.url ?? "";
         this.route = version.routes.find(request.headers.host ?? "", target);
         if (!this.route || !target.startsWith("/")) {
-            throw Refusal.create("route-unknown", { detail: `no route in version ${version.configuration.version}` });
+            throw RequestError.create("route-unknown", {
+                detail: `no route in version ${version.configuration.version}`,
+            });
         }
         const organisation = this.identify(version, this.route);
         return { version, route: this.route, organisation };
@@ -134,7 +140,7 @@
         }
         const { lease, headerNames } = this.parts;
         if (!lease.isValid()) {
-            throw Refusal.create("configuration-missing", {
+            throw RequestError.create("configuration-missing", {
                 detail: `the configuration was last proved current ${Math.round(lease.ageMs())} ms ago`,
                 retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS,
             });
@@ -142,7 +148,7 @@
         const key = this.request.headers[headerNames.key];
         const organisation = typeof key === "string" ? version.organisationOfKey(key) : undefined;
         if (!organisation) {
-            throw Refusal.create(key === undefined ? "key-missing" : "key-invalid");
+            throw RequestError.create(key === undefined ? "key-missing" : "key-invalid");
         }
         return organisation;
     }
@@ -156,13 +162,13 @@
         const guarded = this.parts.guard.decide(priority);
         if (guarded.kind === "refused") {
             const detail = `this node is ${Math.round(guarded.lagMs)} ms behind`;
-            throw Refusal.create("overloaded", { detail, retryAfterMs: guarded.retryAfterMs });
+            throw RequestError.create("overloaded", { detail, retryAfterMs: guarded.retryAfterMs });
         }
         const throttled = this.parts.relay.throttle.decide(service, priority);
         if (throttled.kind === "refused") {
             const detail = `${Math.round(throttled.pressure * PERCENT)}% of the onward calls of ${service} are ` +
                 `refused; ${Math.round(throttled.admittedPart * PERCENT)}% of its requests are admitted`;
-            throw Refusal.create("downstream-overloaded", { detail, retryAfterMs: throttled.retryAfterMs });
+            throw RequestError.create("downstream-overloaded", { detail, retryAfterMs: throttled.retryAfterMs });
         }
     }
 
@@ -172,7 +178,7 @@
         }
         const decision = await this.parts.broker.take(organisation);
         if (decision.kind === "over") {
-            throw Refusal.create("rate-exceeded", {
+            throw RequestError.create("rate-exceeded", {
                 detail: `${organisation.name} is over its rate`,
                 retryAfterMs: decision.retryAfterMs,
             });
@@ -185,14 +191,14 @@
         const body = await readBody(this.request, maximumBodyBytes);
         switch (body.kind) {
             case "too-large":
-                throw Refusal.create("body-too-large");
+                throw RequestError.create("body-too-large");
             case "aborted":
-                throw Refusal.create("caller-gone", { execution: "not-run" });
+                throw RequestError.create("caller-gone", { execution: "not-run" });
             case "whole": {
                 const relayed = this.createRequest(admission, body.body);
                 this.relay = Relay.create(parts.relay, relayed, service);
                 if (this.isCallerGone) {
-                    throw Refusal.create("caller-gone", { execution: "not-run" });
+                    throw RequestError.create("caller-gone", { execution: "not-run" });
                 }
                 return await this.relay.run();
             }
@@ -228,14 +234,7 @@
     /** Headers for the backend server; what nodes say themselves replaces what a caller sent under these names. */
     private createHeaders(organisation: Organisation | undefined): string[] {
         const { headerNames, ownService } = this.parts;
-        const replaced = new Set([
-            headerNames.key,
-            headerNames.deadline,
-            headerNames.organisation,
-            headerNames.callerService,
-            headerNames.expectedInstance,
-        ]);
-        const headers = passOn(this.request.rawHeaders, name => replaced.has(name));
+        const headers = passOn(this.request.rawHeaders, name => this.replacedHeaders.has(name));
         headers.push(headerNames.callerService, ownService);
         if (organisation) {
             headers.push(headerNames.organisation, organisation.name);
@@ -247,7 +246,7 @@
         const { parts, response } = this;
         const elapsedMs = parts.clock.nowMs() - this.startedAtMs;
         parts.metrics.recordAnswer(this.route?.name ?? "", answer.status, elapsedMs);
-        if (answer.status >= FIRST_FAILURE_STATUS) {
+        if (isServerFailure(answer)) {
             this.logEnd("request-failed-by-server", { status: answer.status });
         }
         else {
@@ -318,7 +317,7 @@
 }
 
 function toRefusal(error: unknown): RequestError {
-    return error instanceof Refusal ? error : Refusal.create("internal-error", { detail: String(error) });
+    return error instanceof RequestError ? error : RequestError.create("internal-error", { detail: String(error) });
 }
 
 /** Status of a refusal; one that says "not run" is used only if that is certain. */
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -23,4 +23,4 @@
 export * from "./version/mesh-configuration.js";
 export * from "./version/mesh-version.js";
 export * from "./version/route-table.js";
-export * from "./version/traffic-split.js";
+export * from "./version/weighted-split.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -15,7 +15,7 @@
 import { ConfigurationLease } from "../version/configuration-lease.js";
 import type { MeshConfiguration } from "../version/mesh-configuration.js";
 import { MeshVersion } from "../version/mesh-version.js";
-import { TrafficSplit } from "../version/traffic-split.js";
+import { WeightedSplit } from "../version/weighted-split.js";
 import { ChainThrottle } from "./chain-throttle.js";
 import { LifeCycle } from "./life-cycle.js";
 import { MeshMetrics } from "./mesh-metrics.js";
@@ -78,7 +78,7 @@
     private readonly ownInstance = OwnInstance.create();
     private readonly health: PeerHealth;
     private readonly placement: Placement;
-    private readonly split = TrafficSplit.create();
+    private readonly split = WeightedSplit.create();
     private readonly throttle: ChainThrottle;
     private readonly onwardPressure: OnwardPressure;
     private readonly guard: ProcessorGuard;
--- a/packages/mesh/src/test/version.test.ts
+++ b/packages/mesh/src/test/version.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@radishrouter/core";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ConfigurationLease, hashKey, MeshVersion, RouteTable, TrafficSplit } from "../index.js";
+import { ConfigurationLease, hashKey, MeshVersion, RouteTable, WeightedSplit } from "../index.js";
 import { createConfiguration, createOrganisation, createRoute } from "./example-values.js";
 
 const REVOKE_MS = 5_000;
@@ -27,7 +27,7 @@
 });
 
 test("each destination gets its share in every stretch of requests", () => {
-    const split = TrafficSplit.create();
+    const split = WeightedSplit.create();
     const route = createRoute({ destinations: [{ service: "a", weight: 90 }, { service: "b", weight: 10 }] });
     const chosen = Array.from({ length: 200 }, () => split.next(route));
     for (let start = 0; start + 50 <= chosen.length; start += 10) {
@@ -37,7 +37,7 @@
 });
 
 test("a destination without weight gets nothing", () => {
-    const split = TrafficSplit.create();
+    const split = WeightedSplit.create();
     const route = createRoute({ destinations: [{ service: "a", weight: 0 }, { service: "b", weight: 5 }] });
     const chosen = new Set(Array.from({ length: 20 }, () => split.next(route)));
     assert.deepEqual([...chosen], ["b"]);
--- a/packages/mesh/src/version/traffic-split.ts
+++ b/packages/mesh/src/version/weighted-split.ts
@@ -14,13 +14,13 @@
 }
 
 /** Smooth weighted round robin: each destination gets its part in every stretch of requests, not only on average. */
-export class TrafficSplit {
+export class WeightedSplit {
     private readonly routes = new Map<string, RouteShares>();
 
     private constructor() {}
 
-    static create(): TrafficSplit {
-        return new TrafficSplit();
+    static create(): WeightedSplit {
+        return new WeightedSplit();
     }
 
     /** Service that the next request of a route goes to. */
