Send the names of message fields once a connection, and sort header fields by remembered spelling

Change: messages between nodes go in frames of their own length, decoded without a stream in between, and records in place of maps; header fields are sorted with one look-up a field; a key is hashed in one call; requests are copied field by field.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -9,8 +9,8 @@
 import type { MeshMetrics } from "../process/mesh-metrics.js";
 import type { ProcessorGuard } from "../process/processor-guard.js";
 import type { RequestLog } from "../process/request-log.js";
+import { HeaderFilter } from "../request/header-filter.js";
 import type { HeaderNames } from "../request/header-names.js";
-import { passOn } from "../request/header-names.js";
 import { isServerFailure } from "../request/outcome.js";
 import { Relay } from "../request/relay.js";
 import type { RelayParts } from "../request/relay.js";
@@ -47,6 +47,13 @@
     readonly organisation: Organisation | undefined;
 }
 
+/** Filters of header fields, kept for as long as the listener. */
+interface HeaderFilters {
+    /** Drops also what nodes set themselves, or keep from backend servers. */
+    readonly requests: HeaderFilter;
+    readonly answers: HeaderFilter;
+}
+
 const MAXIMUM_HEADER_BYTES = 65_536;
 const SECOND_MS = 1000;
 const RETRY_AFTER_WITHOUT_CONFIGURATION_MS = 500;
@@ -60,9 +67,12 @@
 /** Creates the server for callers on this host. */
 export function createCallerServer(parts: CallerServerParts): Server {
     const { key, deadline, organisation, callerService, expectedInstance } = parts.headerNames;
-    const replacedHeaders = new Set([key, deadline, organisation, callerService, expectedInstance]);
+    const filters: HeaderFilters = {
+        requests: HeaderFilter.create(new Set([key, deadline, organisation, callerService, expectedInstance])),
+        answers: HeaderFilter.create(),
+    };
     const server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true }, (request, response) => {
-        void new CallerExchange(parts, replacedHeaders, request, response).serve();
+        void new CallerExchange(parts, filters, request, response).serve();
     });
     server.keepAliveTimeout = FIRST_IDLE_LIMIT_MS;
     server.requestTimeout = 0;
@@ -84,8 +94,7 @@
 
     constructor(
         private readonly parts: CallerServerParts,
-        /** Headers that nodes set themselves, or keep from backend servers. */
-        private readonly replacedHeaders: ReadonlySet<string>,
+        private readonly filters: HeaderFilters,
         private readonly request: IncomingMessage,
         private readonly response: ServerResponse,
     ) {
@@ -234,7 +243,7 @@
     /** Headers for the backend server; what nodes say themselves replaces what a caller sent under these names. */
     private createHeaders(organisation: Organisation | undefined): string[] {
         const { headerNames, ownService } = this.parts;
-        const headers = passOn(this.request.rawHeaders, name => this.replacedHeaders.has(name));
+        const headers = this.filters.requests.passOn(this.request.rawHeaders);
         headers.push(headerNames.callerService, ownService);
         if (organisation) {
             headers.push(headerNames.organisation, organisation.name);
@@ -255,7 +264,7 @@
         if (this.isCallerGone) {
             return;
         }
-        const headers = passOn(answer.headers.fields, () => false);
+        const headers = this.filters.answers.passOn(answer.headers.fields);
         headers.push("content-length", String(answer.body.length));
         this.closeIfStopping(headers);
         response.writeHead(answer.status, headers);
--- a/packages/mesh/src/connection/message-socket.ts
+++ b/packages/mesh/src/connection/message-socket.ts
@@ -1,9 +1,10 @@
 /**
  * A connection between two nodes that carries messages.
  */
-import { Packr, UnpackrStream } from "msgpackr";
+import { Packr, Unpackr } from "msgpackr";
 import type { Socket } from "node:net";
 import type { LinkMessage } from "./link-message.js";
+import { appendFrame, FrameReader } from "./message-frame.js";
 
 /** Output that the other end does not read; a connection with more of it is given up. */
 const PENDING_BYTES = 16 * 1024 * 1024;
@@ -15,19 +16,29 @@
     readonly onClosed: () => void;
 }
 
-/** Sends and receives messages; all that is sent in one turn goes out in one write. */
+/**
+ * Sends and receives messages; all that is sent in one turn goes out in one write. The names of fields travel once for
+ * each connection and direction, with the first message of a shape.
+ */
 export class MessageSocket {
-    private readonly packer = new Packr({ useRecords: false });
-    private isCorked = false;
+    private readonly packer = new Packr({ sequential: true });
+    private readonly unpacker = new Unpackr({ structures: [] });
+    /** Frames of this turn that are not written yet. */
+    private output: Buffer[] = [];
 
-    private constructor(private readonly socket: Socket, listener: MessageListener) {
+    private constructor(private readonly socket: Socket, private readonly listener: MessageListener) {
         socket.setNoDelay(true);
-        const unpacker = new UnpackrStream({ useRecords: false });
-        unpacker.on("data", (message: LinkMessage) => listener.onMessage(message));
-        unpacker.on("error", error => socket.destroy(error));
+        const reader = FrameReader.create(payload => this.read(payload));
+        socket.on("data", (chunk: Buffer) => {
+            try {
+                reader.push(chunk);
+            }
+            catch (error) {
+                socket.destroy(error instanceof Error ? error : new Error(String(error)));
+            }
+        });
         socket.on("error", () => socket.destroy());
         socket.once("close", listener.onClosed);
-        socket.pipe(unpacker);
     }
 
     static create(socket: Socket, listener: MessageListener): MessageSocket {
@@ -44,19 +55,25 @@
             socket.destroy(new Error("the other node does not read"));
             return;
         }
-        if (!this.isCorked) {
-            this.isCorked = true;
-            socket.cork();
-            process.nextTick(() => {
-                this.isCorked = false;
-                socket.uncork();
-            });
+        if (this.output.length === 0) {
+            process.nextTick(() => this.flush());
         }
-        socket.write(this.packer.pack(message));
+        appendFrame(this.output, this.packer.pack(message));
     }
 
     /** Closes the connection at once. */
     destroy(): void {
         this.socket.destroy();
     }
+
+    private flush(): void {
+        const frames = Buffer.concat(this.output);
+        this.output = [];
+        this.socket.write(frames);
+    }
+
+    private read(payload: Buffer): void {
+        const messages = this.unpacker.unpackMultiple(payload) as LinkMessage[];
+        messages.forEach(message => this.listener.onMessage(message));
+    }
 }
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -121,7 +121,16 @@
         const { parts } = this;
         const nowMs = parts.clock.nowMs();
         return parts.server.send({
-            ...request,
+            id: request.id,
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            body: request.body,
+            routeName: request.routeName,
+            priority: request.priority,
+            isOnwardCall: request.isOnwardCall,
+            service: request.service,
+            instance: request.instance,
             giveUpAtMs: nowMs + request.remainingMs,
             answerByMs: nowMs + request.answerInMs,
         });
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from "./connection/http-exchange.js";
 export * from "./connection/link-message.js";
+export * from "./connection/message-frame.js";
 export * from "./connection/message-socket.js";
 export * from "./connection/peer-link.js";
 export * from "./connection/token-broker.js";
@@ -18,6 +19,7 @@
 export * from "./process/retry-allowance.js";
 export * from "./process/server-directory.js";
 export * from "./process/server-gate.js";
+export * from "./request/header-filter.js";
 export * from "./request/header-names.js";
 export * from "./version/configuration-lease.js";
 export * from "./version/mesh-configuration.js";
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -151,8 +151,20 @@
         if (server.hostAddress !== parts.hostAddress) {
             return parts.peers.send(server, request);
         }
-        const { service, instance } = server;
-        return parts.server.send({ ...request, routeName: request.route.name, service, instance });
+        return parts.server.send({
+            id: request.id,
+            method: request.method,
+            target: request.target,
+            headers: request.headers,
+            body: request.body,
+            routeName: request.route.name,
+            priority: request.priority,
+            isOnwardCall: request.isOnwardCall,
+            giveUpAtMs: request.giveUpAtMs,
+            answerByMs: request.answerByMs,
+            service: server.service,
+            instance: server.instance,
+        });
     }
 
     private recordPressure(server: KnownServer, outcome: Outcome, onwardPressure: number | undefined): void {
--- a/packages/mesh/src/version/mesh-version.ts
+++ b/packages/mesh/src/version/mesh-version.ts
@@ -1,13 +1,13 @@
 /**
  * One configuration version with the indexes that requests are decided by.
  */
-import { createHash } from "node:crypto";
+import { hash } from "node:crypto";
 import type { MeshConfiguration, Organisation } from "./mesh-configuration.js";
 import { RouteTable } from "./route-table.js";
 
 /** SHA-256 of a caller's key, in hexadecimal. */
 export function hashKey(key: string): string {
-    return createHash("sha256").update(key).digest("hex");
+    return hash("sha256", key);
 }
 
 /** Configuration version in force, indexed. */
@@ -19,7 +19,9 @@
         this.routes = RouteTable.create(configuration.routes);
         const organisations = configuration.organisations ?? [];
         this.organisationsByKey = new Map(
-            organisations.flatMap(organisation => organisation.keyHashes.map(hash => [hash, organisation] as const)),
+            organisations.flatMap(organisation =>
+                organisation.keyHashes.map(keyHash => [keyHash, organisation] as const)
+            ),
         );
     }
 
