Count the time that a request was held up between two nodes

Cause: a request told its time left, counted by the receiver from when it read it. On a connection that stalls (a cut that ends, a narrow link) it was started with time that was long over, also when its caller had left; a link given up as silent still delivered what its host had buffered, and what had been given up on a silent link was never called back. Change: a request carries the time of the sender's steady clock, the receiver measures the delay against the fastest message of the connection and takes it off; a late request waits 25 ms for its cancellation; what is given up on a silent link is cancelled, and a link that ends silent is reset.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -51,7 +51,13 @@
 
 /** One message; numbers are the sender's and come back with what belongs to them. */
 export type LinkMessage =
-    | { readonly kind: "request"; readonly number: number; readonly request: ForwardedRequest; }
+    | {
+        readonly kind: "request";
+        readonly number: number;
+        /** Time of the sender's steady clock, which shares no zero with the receiver's. */
+        readonly sentAtMs: number;
+        readonly request: ForwardedRequest;
+    }
     | { readonly kind: "cancel"; readonly number: number; }
     | {
         readonly kind: "outcome";
--- a/packages/mesh/src/connection/message-socket.ts
+++ b/packages/mesh/src/connection/message-socket.ts
@@ -61,6 +61,11 @@
         appendFrame(this.output, this.packer.pack(message));
     }
 
+    /** Closes the connection at once, and drops what has not left this host. */
+    reset(): void {
+        this.socket.resetAndDestroy();
+    }
+
     /** Closes the connection at once. */
     destroy(): void {
         this.socket.destroy();
@@ -69,7 +74,9 @@
     private flush(): void {
         const frames = Buffer.concat(this.output);
         this.output = [];
-        this.socket.write(frames);
+        if (!this.socket.destroyed) {
+            this.socket.write(frames);
+        }
     }
 
     private read(payload: Buffer): void {
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -89,7 +89,7 @@
     forward(request: ForwardedRequest, mayGiveUp: boolean): OpenForward {
         const number = ++this.lastNumber;
         const result = this.ask<ForwardAnswer>(
-            { kind: "request", number, request },
+            { kind: "request", number, sentAtMs: this.parts.clock.nowMs(), request },
             mayGiveUp,
             message => message.kind === "outcome" ? { outcome: message.outcome, state: message.state } : undefined,
         );
@@ -216,6 +216,8 @@
         for (const [number, question] of [...this.questions]) {
             if (question.mayGiveUp) {
                 this.questions.delete(number);
+                // If the peer is reached after all, it is not to run what has been sent elsewhere since.
+                this.messages.send({ kind: "cancel", number });
                 question.settle({ kind: "lost", sent: true, isSilent: true });
             }
         }
@@ -225,7 +227,7 @@
 
     private closeIfDone(): void {
         if (this.stage === "silent" && this.questions.size === 0) {
-            this.messages.destroy();
+            this.messages.reset();
         }
     }
 
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -1,7 +1,7 @@
 /**
  * Takes messages of other nodes: requests for the backend server on this host, and questions for tokens.
  */
-import type { Clock } from "@radishrouter/core";
+import type { Clock, Timer } from "@radishrouter/core";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import type { LifeCycle } from "../process/life-cycle.js";
@@ -13,6 +13,7 @@
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import type { ServerClient } from "./server-client.js";
+import { TransitDelay } from "./transit-delay.js";
 
 /** Parts that the listener works with. */
 export interface PeerServerParts {
@@ -25,6 +26,13 @@
     readonly log: RequestLog;
 }
 
+type RequestMessage = Extract<LinkMessage, { kind: "request"; }>;
+
+/** Delay from which a request counts as late. */
+const LATE_MS = 200;
+/** Time for which a late request waits for its cancellation: some round trips of a connection that flows again. */
+const CANCELLATION_WAIT_MS = 25;
+
 /** Connections that other nodes have opened to this one. */
 export class PeerServer {
     readonly listener: Server;
@@ -56,12 +64,16 @@
 class IncomingLink {
     private readonly messages: MessageSocket;
     private readonly sends = new Map<number, Send>();
+    /** Requests that came late and are not started yet, by number. */
+    private readonly late = new Map<number, Timer>();
+    private readonly transitDelay = TransitDelay.create();
 
     private constructor(private readonly parts: PeerServerParts, socket: Socket, onClosed: () => void) {
         this.messages = MessageSocket.create(socket, {
             onMessage: message => this.receive(message),
             onClosed: () => {
                 onClosed();
+                this.late.forEach(timer => timer.cancel());
                 this.sends.forEach(send => send.abort("caller-gone"));
             },
         });
@@ -82,10 +94,10 @@
     private receive(message: LinkMessage): void {
         switch (message.kind) {
             case "request":
-                void this.run(message.number, message.request);
+                this.take(message);
                 return;
             case "cancel":
-                this.sends.get(message.number)?.abort("caller-gone");
+                this.cancel(message.number);
                 return;
             case "ask-tokens": {
                 const granted = this.parts.quota.grant(message.organisation, message.wanted);
@@ -103,10 +115,33 @@
         }
     }
 
-    private async run(number: number, request: ForwardedRequest): Promise<void> {
+    /** Starts a request; one that came late waits for the cancellation that may have been held up behind it. */
+    private take({ number, sentAtMs, request }: RequestMessage): void {
+        const { clock } = this.parts;
+        const receivedAtMs = clock.nowMs();
+        const delayMs = this.transitDelay.measure(sentAtMs, receivedAtMs);
+        if (delayMs < LATE_MS) {
+            void this.run(number, request, receivedAtMs - delayMs);
+            return;
+        }
+        const timer = clock.setTimer(CANCELLATION_WAIT_MS, () => {
+            this.late.delete(number);
+            void this.run(number, request, receivedAtMs - delayMs);
+        });
+        this.late.set(number, timer);
+    }
+
+    private cancel(number: number): void {
+        this.late.get(number)?.cancel();
+        this.late.delete(number);
+        this.sends.get(number)?.abort("caller-gone");
+    }
+
+    /** Runs a request; the time that it has left counts from when it was sent. */
+    private async run(number: number, request: ForwardedRequest, sentAtMs: number): Promise<void> {
         const { parts } = this;
         parts.lifeCycle.begin();
-        const send = this.start(request);
+        const send = this.start(request, sentAtMs);
         this.sends.set(number, send);
         const { outcome } = await send.result;
         this.sends.delete(number);
@@ -117,10 +152,8 @@
         parts.lifeCycle.end();
     }
 
-    private start(request: ForwardedRequest): Send {
-        const { parts } = this;
-        const nowMs = parts.clock.nowMs();
-        return parts.server.send({
+    private start(request: ForwardedRequest, sentAtMs: number): Send {
+        return this.parts.server.send({
             id: request.id,
             method: request.method,
             target: request.target,
@@ -131,8 +164,8 @@
             isOnwardCall: request.isOnwardCall,
             service: request.service,
             instance: request.instance,
-            giveUpAtMs: nowMs + request.remainingMs,
-            answerByMs: nowMs + request.answerInMs,
+            giveUpAtMs: sentAtMs + request.remainingMs,
+            answerByMs: sentAtMs + request.answerInMs,
         });
     }
 
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./connection/message-socket.js";
 export * from "./connection/peer-link.js";
 export * from "./connection/token-broker.js";
+export * from "./connection/transit-delay.js";
 export * from "./process/chain-throttle.js";
 export * from "./process/mesh-node.js";
 export * from "./process/onward-pressure.js";
--- a/packages/mesh/src/test/peer-link.test.ts
+++ b/packages/mesh/src/test/peer-link.test.ts
@@ -80,6 +80,20 @@
     server.close();
 });
 
+test("a silent peer is told to drop what was given up, as it may be reached again", async () => {
+    const seen: string[] = [];
+    const { server, port } = await createPeer(message => seen.push(message.kind));
+    const link = openLink(port);
+    const waiting = link.forward(request, false);
+    await link.forward(request, true).result;
+    while (!seen.includes("cancel")) {
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    assert.deepEqual(seen.filter(kind => kind !== "ping"), ["request", "request", "cancel"]);
+    waiting.cancel();
+    server.close();
+});
+
 test("a peer that works on a long request and answers pings is not silent", async () => {
     const { server, port } = await createPeer((message, reply) => {
         switch (message.kind) {
