Let a past slowness fade: of service times after a pause, and of a host that was slow once

(1) The first request after a pause brought a faded service time back nearly whole. (2) The latency of a host never faded for the choice, so one that had been slow once was never chosen while the other had room. Ruled out: load alone, as the host stayed without requests when the machine was idle again. Change: the longer nothing was recorded, the more the next time counts; a latency halves in 2 s without answers, for the choice only (what counts as silence keeps the whole). The chain test expected 504 also where a node rightly refuses a request that it expects to take longer than its deadline; it now sends until one request has reached the deepest service within its deadline, and that one has to end with 504.

--- a/packages/core/src/process/observed-host.ts
+++ b/packages/core/src/process/observed-host.ts
@@ -6,6 +6,8 @@
 import type { OpenSend, SendOutcome } from "./load-balancer.js";
 
 const LATENCY_WEIGHT = 0.2;
+/** Time without answers in which a latency halves for the choice, so that a host that was slow once is tried again. */
+const LATENCY_HALF_LIFE_MS = 2_000;
 /** Time for which a load that a host told is believed. */
 const LOAD_VALID_MS = 250;
 /** Silence that is never taken for hanging, for the host itself and each call below it, beside the latency. */
@@ -119,7 +121,12 @@
         const refusal = 1 + REFUSAL_COST * Math.exp((this.refusedAtMs - nowMs) / REFUSAL_FADE_MS);
         const ramp = Math.min(1, RAMP_UP_START + (nowMs - this.rampStartMs) / RAMP_UP_MS);
         const limit = Math.max(1, this.load?.limit ?? LIMIT_UNKNOWN);
-        return (this.busy() + 1) / limit * Math.sqrt(this.latencyMs + 1) * refusal / ramp;
+        return (this.busy() + 1) / limit * Math.sqrt(this.currentLatencyMs(nowMs) + 1) * refusal / ramp;
+    }
+
+    /** Latency as far as it still says something about the next request. */
+    private currentLatencyMs(nowMs: number): number {
+        return this.latencyMs * 0.5 ** ((nowMs - this.lastAnswerMs) / LATENCY_HALF_LIFE_MS);
     }
 
     /** Own requests in flight, and what the host told of those of others while that is new. */
--- a/packages/core/src/process/service-times.ts
+++ b/packages/core/src/process/service-times.ts
@@ -47,8 +47,7 @@
         if (!estimate) {
             return 0;
         }
-        const idleMs = this.clock.nowMs() - estimate.updatedAtMs;
-        return EXPECTED_RATIO * estimate.meanMs * 0.5 ** (idleMs / HALF_LIFE_MS);
+        return EXPECTED_RATIO * estimate.meanMs * this.remainingPart(estimate);
     }
 
     /** Mean time of all requests. */
@@ -56,8 +55,15 @@
         return this.all.meanMs;
     }
 
+    /** Moves a mean towards a new time; the longer nothing was recorded, the less the past counts. */
     private update(estimate: Estimate, totalMs: number): void {
-        estimate.meanMs = estimate.meanMs === 0 ? totalMs : estimate.meanMs + (totalMs - estimate.meanMs) * WEIGHT;
+        const weight = Math.max(WEIGHT, 1 - this.remainingPart(estimate));
+        estimate.meanMs = estimate.meanMs === 0 ? totalMs : estimate.meanMs + (totalMs - estimate.meanMs) * weight;
         estimate.updatedAtMs = this.clock.nowMs();
     }
+
+    /** Part of an estimate that is left after the time since its last record. */
+    private remainingPart(estimate: Estimate): number {
+        return 0.5 ** ((this.clock.nowMs() - estimate.updatedAtMs) / HALF_LIFE_MS);
+    }
 }
--- a/packages/core/src/test/load-balancer.test.ts
+++ b/packages/core/src/test/load-balancer.test.ts
@@ -1,9 +1,24 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { LoadBalancer, ManualClock } from "../index.js";
+import type { Host } from "../index.js";
 
 const LONG_MS = 60_000;
 
+function createHost(name: string): Host {
+    return {
+        name,
+        address: "127.0.0.1",
+        failureDomain: "khomas-a",
+        region: "khomas",
+        service: "items",
+        callerPort: 1,
+        forwardPort: 2,
+        controlPort: 3,
+        state: "live",
+    };
+}
+
 test("a host that hung is used again although no request may be its probe", () => {
     const clock = ManualClock.create();
     const balancer = LoadBalancer.create(clock);
@@ -27,3 +42,22 @@
     clock.advance(LONG_MS);
     assert.ok(balancer.isUnresponsive("items-1"));
 });
+
+test("a host that was slow once gets requests again while the other one has room", () => {
+    const clock = ManualClock.create();
+    const balancer = LoadBalancer.create(clock);
+    const sender = { failureDomain: "khomas-a", region: "khomas" };
+    const hosts = ["items-1", "items-2"].map(createHost);
+    const slow = balancer.start("items-1");
+    clock.advance(4_000);
+    slow.end({ kind: "answered" });
+    const chosen = new Set<string | undefined>();
+    for (let index = 0; index < 3_000; index++) {
+        const host = balancer.choose(hosts, sender, true);
+        chosen.add(host?.name);
+        const open = balancer.start(host?.name ?? "");
+        clock.advance(10);
+        open.end({ kind: "answered" });
+    }
+    assert.deepEqual([...chosen].sort(), ["items-1", "items-2"]);
+});
--- a/packages/testbed/src/test/chain.test.ts
+++ b/packages/testbed/src/test/chain.test.ts
@@ -90,7 +90,15 @@
 
     test("the deadline of a caller ends its request at every hop", async () => {
         await setDeepMode("hang");
-        assert.equal(await send("late", { deadlineMs: 200 }), 504);
+        // A node refuses a request that takes longer, by what it has seen, than there is time left.
+        let attempts = 0;
+        let status: number | undefined;
+        await waitFor(async () => {
+            const id = `late-${++attempts}`;
+            status = await send(id, { deadlineMs: 200 });
+            return startsOf(id).some(run => run.host.startsWith("items"));
+        }, "a request reaches the deepest service before its deadline");
+        assert.equal(status, 504);
         await waitForIdle();
     });
 
