Take the admission of requests out of the callers' listener, and the parts of the test fleet apart

Change: RequestAdmission decides about route, key, load and rate, with tests without a network (5); the test fleet's options, node settings, control calls and waitFor are files of their own. No behaviour changes.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -7,7 +7,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
-import type { ProcessorGuard } from "../process/processor-guard.js";
 import type { RequestLog } from "../process/request-log.js";
 import { HeaderFilter } from "../request/header-filter.js";
 import type { HeaderNames } from "../request/header-names.js";
@@ -15,22 +14,19 @@
 import { Relay } from "../request/relay.js";
 import type { RelayParts } from "../request/relay.js";
 import type { RelayedRequest } from "../request/relayed-request.js";
+import type { AdmittedRequest, RequestAdmission } from "../request/request-admission.js";
 import type { ConfigurationLease } from "../version/configuration-lease.js";
 import type { Organisation, Route } from "../version/mesh-configuration.js";
 import type { MeshVersion } from "../version/mesh-version.js";
-import type { WeightedSplit } from "../version/weighted-split.js";
 import type { ExchangeResponse } from "./http-exchange.js";
 import { readBody } from "./message-body.js";
-import type { TokenBroker } from "./token-broker.js";
 
 /** Parts that the listener works with. */
 export interface CallerServerParts {
     readonly clock: Clock;
     readonly version: () => MeshVersion | undefined;
     readonly lease: ConfigurationLease;
-    readonly broker: TokenBroker;
-    readonly guard: ProcessorGuard;
-    readonly split: WeightedSplit;
+    readonly admission: RequestAdmission;
     readonly relay: RelayParts;
     readonly headerNames: HeaderNames;
     /** Service of the backend server on this host. */
@@ -40,13 +36,6 @@
     readonly lifeCycle: LifeCycle;
 }
 
-/** What was decided about a request before it is sent anywhere. */
-interface Admission {
-    readonly version: MeshVersion;
-    readonly route: Route;
-    readonly organisation: Organisation | undefined;
-}
-
 /** Filters of header fields, kept for as long as the listener. */
 interface HeaderFilters {
     /** Drops also what nodes set themselves, or keep from backend servers. */
@@ -56,10 +45,8 @@
 
 const MAXIMUM_HEADER_BYTES = 65_536;
 const SECOND_MS = 1000;
-const RETRY_AFTER_WITHOUT_CONFIGURATION_MS = 500;
 const LONGEST_DEADLINE_MS = 600_000;
 const TIME_DIGITS = 3;
-const PERCENT = 100;
 /** Callers use a connection again until shortly before the idle limit, so it is closed a little after it. */
 const IDLE_SLACK_MS = 1_000;
 const FIRST_IDLE_LIMIT_MS = 60_000;
@@ -114,89 +101,21 @@
             }
         });
         try {
-            const admission = this.admit();
-            const service = this.parts.split.next(admission.route);
-            this.shed(admission, service);
-            await this.keepWithinRate(admission.organisation);
-            this.sendAnswer(await this.run(admission, service));
+            const { admission } = this.parts;
+            const { host, [this.parts.headerNames.key]: key } = this.request.headers;
+            const routed = admission.findRoute(host ?? "", this.request.url ?? "");
+            this.route = routed.route;
+            const admitted = await admission.admit(routed, typeof key === "string" ? key : undefined);
+            this.sendAnswer(await this.run(admitted));
         }
         catch (error) {
             this.sendFailure(error);
         }
     }
 
-    private admit(): Admission {
-        const { parts, request } = this;
-        const version = parts.version();
-        if (!version) {
-            throw RequestError.create("configuration-missing", { retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS });
-        }
-        const target = request.url ?? "";
-        this.route = version.routes.find(request.headers.host ?? "", target);
-        if (!this.route || !target.startsWith("/")) {
-            throw RequestError.create("route-unknown", {
-                detail: `no route in version ${version.configuration.version}`,
-            });
-        }
-        const organisation = this.identify(version, this.route);
-        return { version, route: this.route, organisation };
-    }
-
-    /** Finds the organisation of the caller's key; undefined where none is needed. */
-    private identify(version: MeshVersion, route: Route): Organisation | undefined {
-        if (!version.needsKeys || route.isPublic) {
-            return undefined;
-        }
-        const { lease, headerNames } = this.parts;
-        if (!lease.isValid()) {
-            throw RequestError.create("configuration-missing", {
-                detail: `the configuration was last proved current ${Math.round(lease.ageMs())} ms ago`,
-                retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS,
-            });
-        }
-        const key = this.request.headers[headerNames.key];
-        const organisation = typeof key === "string" ? version.organisationOfKey(key) : undefined;
-        if (!organisation) {
-            throw RequestError.create(key === undefined ? "key-missing" : "key-invalid");
-        }
-        return organisation;
-    }
-
-    /** Refuses a new request that this node or the services below its own cannot carry. */
-    private shed({ route, organisation, version }: Admission, service: string): void {
-        if (isOnwardCall(version, route)) {
-            return;
-        }
-        const priority = organisation?.priority ?? route.priority;
-        const guarded = this.parts.guard.decide(priority);
-        if (guarded.kind === "refused") {
-            const detail = `this node is ${Math.round(guarded.lagMs)} ms behind`;
-            throw RequestError.create("overloaded", { detail, retryAfterMs: guarded.retryAfterMs });
-        }
-        const throttled = this.parts.relay.throttle.decide(service, priority);
-        if (throttled.kind === "refused") {
-            const detail = `${Math.round(throttled.pressure * PERCENT)}% of the onward calls of ${service} are ` +
-                `refused; ${Math.round(throttled.admittedPart * PERCENT)}% of its requests are admitted`;
-            throw RequestError.create("downstream-overloaded", { detail, retryAfterMs: throttled.retryAfterMs });
-        }
-    }
-
-    private async keepWithinRate(organisation: Organisation | undefined): Promise<void> {
-        if (!organisation) {
-            return;
-        }
-        const decision = await this.parts.broker.take(organisation);
-        if (decision.kind === "over") {
-            throw RequestError.create("rate-exceeded", {
-                detail: `${organisation.name} is over its rate`,
-                retryAfterMs: decision.retryAfterMs,
-            });
-        }
-    }
-
-    private async run(admission: Admission, service: string): Promise<ExchangeResponse> {
+    private async run(admitted: AdmittedRequest): Promise<ExchangeResponse> {
         const { parts } = this;
-        const { maximumBodyBytes } = admission.version.configuration.limits;
+        const { maximumBodyBytes } = admitted.version.configuration.limits;
         const body = await readBody(this.request, maximumBodyBytes);
         switch (body.kind) {
             case "too-large":
@@ -204,8 +123,8 @@
             case "aborted":
                 throw RequestError.create("caller-gone", { execution: "not-run" });
             case "whole": {
-                const relayed = this.createRequest(admission, body.body);
-                this.relay = Relay.create(parts.relay, relayed, service);
+                const relayed = this.createRequest(admitted, body.body);
+                this.relay = Relay.create(parts.relay, relayed, admitted.service);
                 if (this.isCallerGone) {
                     throw RequestError.create("caller-gone", { execution: "not-run" });
                 }
@@ -214,11 +133,10 @@
         }
     }
 
-    private createRequest(admission: Admission, body: Buffer | undefined): RelayedRequest {
-        const { route, organisation } = admission;
+    private createRequest(admitted: AdmittedRequest, body: Buffer | undefined): RelayedRequest {
+        const { route, organisation, isOnwardCall } = admitted;
         const deadlineMs = this.startedAtMs + this.readDeadlineMs();
         const giveUpAtMs = Math.min(deadlineMs, this.startedAtMs + route.timeoutMs);
-        const isCall = isOnwardCall(admission.version, route);
         const objectiveAtMs = this.startedAtMs + route.latencyObjectiveMs;
         return {
             id: this.id,
@@ -228,9 +146,9 @@
             body,
             route,
             priority: organisation?.priority ?? route.priority,
-            isOnwardCall: isCall,
+            isOnwardCall,
             giveUpAtMs,
-            answerByMs: isCall ? giveUpAtMs : Math.min(giveUpAtMs, objectiveAtMs),
+            answerByMs: isOnwardCall ? giveUpAtMs : Math.min(giveUpAtMs, objectiveAtMs),
         };
     }
 
@@ -320,11 +238,6 @@
     }
 }
 
-/** Onward calls carry no key; where keys are needed, public routes are theirs. */
-function isOnwardCall(version: MeshVersion, route: Route): boolean {
-    return version.needsKeys && route.isPublic;
-}
-
 function toRefusal(error: unknown): RequestError {
     return error instanceof RequestError ? error : RequestError.create("internal-error", { detail: String(error) });
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -22,6 +22,7 @@
 export * from "./process/server-gate.js";
 export * from "./request/header-filter.js";
 export * from "./request/header-names.js";
+export * from "./request/request-admission.js";
 export * from "./version/configuration-lease.js";
 export * from "./version/mesh-configuration.js";
 export * from "./version/mesh-version.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -12,6 +12,7 @@
 import { createMetricsServer, createReadinessServer } from "../connection/status-server.js";
 import { TokenBroker } from "../connection/token-broker.js";
 import type { HeaderNames } from "../request/header-names.js";
+import { RequestAdmission } from "../request/request-admission.js";
 import { ConfigurationLease } from "../version/configuration-lease.js";
 import type { MeshConfiguration } from "../version/mesh-configuration.js";
 import { MeshVersion } from "../version/mesh-version.js";
@@ -240,13 +241,18 @@
     }
 
     private callerServerParts(): Parameters<typeof createCallerServer>[0] {
-        const { clock, lease, broker, split, log, metrics, lifeCycle, settings } = this;
+        const { clock, lease, log, metrics, lifeCycle, settings } = this;
         return {
             clock,
             lease,
-            broker,
-            guard: this.guard,
-            split,
+            admission: RequestAdmission.create({
+                lease,
+                broker: this.broker,
+                guard: this.guard,
+                throttle: this.throttle,
+                split: this.split,
+                version: () => this.version,
+            }),
             log,
             metrics,
             lifeCycle,
--- /dev/null
+++ b/packages/mesh/src/request/request-admission.ts
@@ -0,0 +1,130 @@
+/**
+ * Decides whether a request of a caller is served: which route, whose key, with what load, within which rate.
+ */
+import { RequestError } from "@radishrouter/core";
+import type { TokenBroker } from "../connection/token-broker.js";
+import type { ChainThrottle } from "../process/chain-throttle.js";
+import type { ProcessorGuard } from "../process/processor-guard.js";
+import type { ConfigurationLease } from "../version/configuration-lease.js";
+import type { Organisation, Route } from "../version/mesh-configuration.js";
+import type { MeshVersion } from "../version/mesh-version.js";
+import type { WeightedSplit } from "../version/weighted-split.js";
+
+/** Parts that the decision works with. */
+export interface RequestAdmissionParts {
+    readonly version: () => MeshVersion | undefined;
+    readonly lease: ConfigurationLease;
+    readonly broker: TokenBroker;
+    readonly guard: ProcessorGuard;
+    readonly throttle: ChainThrottle;
+    readonly split: WeightedSplit;
+}
+
+/** A request whose route is known. */
+export interface RoutedRequest {
+    readonly version: MeshVersion;
+    readonly route: Route;
+}
+
+/** A request that is to be served. */
+export interface AdmittedRequest extends RoutedRequest {
+    /** Organisation of the caller's key; undefined where none is needed. */
+    readonly organisation: Organisation | undefined;
+    /** Service that the route's split chose. */
+    readonly service: string;
+    /** Whether the request is part of another one that already runs somewhere. */
+    readonly isOnwardCall: boolean;
+}
+
+const RETRY_AFTER_WITHOUT_CONFIGURATION_MS = 500;
+const PERCENT = 100;
+
+/** Admits requests of callers, or says why not. All its refusals are made before anything is sent. */
+export class RequestAdmission {
+    private constructor(private readonly parts: RequestAdmissionParts) {}
+
+    static create(parts: RequestAdmissionParts): RequestAdmission {
+        return new RequestAdmission(parts);
+    }
+
+    /**
+     * Finds the route of a request by its `Host` header and its path.
+     *
+     * @throws RequestError when there is none, or no configuration yet.
+     */
+    findRoute(hostHeader: string, target: string): RoutedRequest {
+        const version = this.parts.version();
+        if (!version) {
+            throw RequestError.create("configuration-missing", { retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS });
+        }
+        const route = version.routes.find(hostHeader, target);
+        if (!route || !target.startsWith("/")) {
+            throw RequestError.create("route-unknown", {
+                detail: `no route in version ${version.configuration.version}`,
+            });
+        }
+        return { version, route };
+    }
+
+    /**
+     * Decides about a routed request; waits only while other hosts are asked for tokens of its organisation.
+     *
+     * @throws RequestError when it is refused.
+     */
+    async admit({ version, route }: RoutedRequest, key: string | undefined): Promise<AdmittedRequest> {
+        const organisation = this.identify(version, route, key);
+        const service = this.parts.split.next(route);
+        const isOnwardCall = version.needsKeys && route.isPublic;
+        if (!isOnwardCall) {
+            this.shed(service, organisation?.priority ?? route.priority);
+        }
+        if (organisation) {
+            await this.keepWithinRate(organisation);
+        }
+        return { version, route, organisation, service, isOnwardCall };
+    }
+
+    private identify(version: MeshVersion, route: Route, key: string | undefined): Organisation | undefined {
+        // Onward calls carry no key; where keys are needed, public routes are theirs.
+        if (!version.needsKeys || route.isPublic) {
+            return undefined;
+        }
+        const { lease } = this.parts;
+        if (!lease.isValid()) {
+            throw RequestError.create("configuration-missing", {
+                detail: `the configuration was last proved current ${Math.round(lease.ageMs())} ms ago`,
+                retryAfterMs: RETRY_AFTER_WITHOUT_CONFIGURATION_MS,
+            });
+        }
+        const organisation = key === undefined ? undefined : version.organisationOfKey(key);
+        if (!organisation) {
+            throw RequestError.create(key === undefined ? "key-missing" : "key-invalid");
+        }
+        return organisation;
+    }
+
+    /** Refuses a new request that this node or the services below its own cannot carry. */
+    private shed(service: string, priority: number): void {
+        const guarded = this.parts.guard.decide(priority);
+        if (guarded.kind === "refused") {
+            const detail = `this node is ${Math.round(guarded.lagMs)} ms behind`;
+            throw RequestError.create("overloaded", { detail, retryAfterMs: guarded.retryAfterMs });
+        }
+        const throttled = this.parts.throttle.decide(service, priority);
+        if (throttled.kind === "refused") {
+            const detail = `${Math.round(throttled.pressure * PERCENT)}% of the onward calls of ${service} are ` +
+                `refused; ${Math.round(throttled.admittedPart * PERCENT)}% of its requests are admitted`;
+            throw RequestError.create("downstream-overloaded", { detail, retryAfterMs: throttled.retryAfterMs });
+        }
+    }
+
+    private async keepWithinRate(organisation: Organisation): Promise<void> {
+        const decision = await this.parts.broker.take(organisation);
+        if (decision.kind === "over") {
+            throw RequestError.create("rate-exceeded", {
+                detail: `${organisation.name} is over its rate`,
+                retryAfterMs: decision.retryAfterMs,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/packages/mesh/src/test/request-admission.test.ts
@@ -0,0 +1,110 @@
+import { ManualClock, RequestError } from "@radishrouter/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+    ChainThrottle,
+    ConfigurationLease,
+    hashKey,
+    MeshVersion,
+    OrganisationQuota,
+    ProcessorGuard,
+    RequestAdmission,
+    TokenBroker,
+    WeightedSplit,
+} from "../index.js";
+import type { AdmittedRequest, MeshConfiguration } from "../index.js";
+import { createConfiguration, createOrganisation, createRoute } from "./example-values.js";
+
+const HOST = "catalogue.example";
+const ADDRESS = "10.0.0.1";
+const LEASE_MS = 5_000;
+const archive = createOrganisation({ keyHashes: [hashKey("first-key")], ratePerSecond: 1, burst: 1 });
+
+/** An admission on a host of its own, with a version in force unless it is left out. */
+function createAdmission(configuration: MeshConfiguration | undefined) {
+    const clock = ManualClock.create();
+    const lease = ConfigurationLease.create(clock, LEASE_MS, () => 0);
+    lease.renew(lease.now());
+    const quota = OrganisationQuota.create(clock, ADDRESS, () => [ADDRESS]);
+    quota.setOrganisations(configuration?.organisations ?? []);
+    clock.advance(1_000);
+    lease.renew(lease.now());
+    const throttle = ChainThrottle.create(clock);
+    const version = configuration && MeshVersion.create(configuration);
+    const admission = RequestAdmission.create({
+        version: () => version,
+        lease,
+        broker: TokenBroker.create({
+            clock,
+            quota,
+            ownAddress: ADDRESS,
+            isReachable: () => false,
+            ask: () => Promise.resolve(0),
+        }),
+        guard: ProcessorGuard.create(clock),
+        throttle,
+        split: WeightedSplit.create(),
+    });
+    const decide = async (path: string, key?: string): Promise<AdmittedRequest> =>
+        await admission.admit(admission.findRoute(HOST, path), key);
+    return { clock, throttle, decide };
+}
+
+/** Name of the refusal that a decision ends with. */
+async function refusalOf(decision: Promise<AdmittedRequest>): Promise<string> {
+    try {
+        await decision;
+    }
+    catch (error) {
+        assert.ok(error instanceof RequestError);
+        assert.equal(error.execution, "not-run");
+        return error.result.name;
+    }
+    return "admitted";
+}
+
+const withKeys = createConfiguration({
+    organisations: [archive],
+    routes: [createRoute(), createRoute({ name: "calls", pathPrefix: "/calls/", isPublic: true })],
+});
+
+test("without a configuration nothing is known of a route, so that the caller is to come back", async () => {
+    const { decide } = createAdmission(undefined);
+    assert.equal(await refusalOf(decide("/search/")), "configuration-missing");
+});
+
+test("a path without a route is refused as unknown", async () => {
+    const { decide } = createAdmission(withKeys);
+    assert.equal(await refusalOf(decide("/elsewhere/")), "route-unknown");
+});
+
+test("a key is needed, has to be held by an organisation, and is counted against its rate", async () => {
+    const { decide } = createAdmission(withKeys);
+    assert.equal(await refusalOf(decide("/search/")), "key-missing");
+    assert.equal(await refusalOf(decide("/search/", "another")), "key-invalid");
+    const admitted = await decide("/search/", "first-key");
+    assert.equal(admitted.organisation?.name, "archive");
+    assert.equal(admitted.service, "catalogue");
+    assert.equal(await refusalOf(decide("/search/", "first-key")), "rate-exceeded");
+});
+
+test("without a proof that keys are current, calls of running requests go on and requests with a key do not", async () => {
+    const { clock, decide } = createAdmission(withKeys);
+    clock.advance(LEASE_MS);
+    assert.equal(await refusalOf(decide("/search/", "first-key")), "configuration-missing");
+    assert.equal((await decide("/calls/")).isOnwardCall, true);
+});
+
+test("pressure below a service turns new requests away and lets calls of running requests through", async () => {
+    const { clock, throttle, decide } = createAdmission(withKeys);
+    for (let index = 0; index < 100; index++) {
+        throttle.record("catalogue", 1);
+        clock.advance(20);
+    }
+    const results = new Set<string>();
+    for (let index = 0; index < 50; index++) {
+        results.add(await refusalOf(decide("/search/", "first-key")));
+        assert.equal((await decide("/calls/")).isOnwardCall, true);
+    }
+    assert.ok(results.has("downstream-overloaded"));
+});
--- a/packages/testbed/src/bench/configuration.ts
+++ b/packages/testbed/src/bench/configuration.ts
@@ -5,7 +5,8 @@
 import { request } from "undici";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
 import type { ExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 import type { Measures, Scenario } from "./scenario.js";
 
 const FAILURE_DOMAINS = ["khomas-a", "khomas-b", "khomas-c"];
--- a/packages/testbed/src/bench/control.ts
+++ b/packages/testbed/src/bench/control.ts
@@ -8,7 +8,7 @@
 import { FleetAddresses, ports } from "../fleet/addresses.js";
 import { Child } from "../fleet/child.js";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { waitFor } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 import { controlSampleSchema } from "./control-sample.js";
 import type { ControlSample } from "./control-sample.js";
 import type { Measures, Scenario } from "./scenario.js";
--- a/packages/testbed/src/bench/hang/hang-scenario.ts
+++ b/packages/testbed/src/bench/hang/hang-scenario.ts
@@ -3,8 +3,8 @@
  */
 import { createExampleConfiguration } from "../../fleet/example-configuration.js";
 import type { ExampleConfiguration } from "../../fleet/example-configuration.js";
+import type { FleetOptions, HostSpecification } from "../../fleet/fleet-options.js";
 import { Fleet } from "../../fleet/fleet.js";
-import type { FleetOptions, HostSpecification } from "../../fleet/fleet.js";
 import type { LoadPhase, LoadPlan, LoadResult } from "../load/load-plan.js";
 import { runLoad } from "../load/load-run.js";
 import type { Measures, Scenario } from "../scenario.js";
--- a/packages/testbed/src/bench/overload/overload-scenario.ts
+++ b/packages/testbed/src/bench/overload/overload-scenario.ts
@@ -3,8 +3,8 @@
  */
 import { Pool } from "undici";
 import { ports } from "../../fleet/addresses.js";
+import type { FleetOptions } from "../../fleet/fleet-options.js";
 import { Fleet } from "../../fleet/fleet.js";
-import type { FleetOptions } from "../../fleet/fleet.js";
 import type { LoadPlan } from "../load/load-plan.js";
 import { runLoad } from "../load/load-run.js";
 import type { Measures, Scenario } from "../scenario.js";
--- a/packages/testbed/src/bench/overload/workload.ts
+++ b/packages/testbed/src/bench/overload/workload.ts
@@ -4,7 +4,7 @@
 import type { Organisation, Service } from "@radishrouter/core";
 import { createExampleConfiguration } from "../../fleet/example-configuration.js";
 import type { ExampleConfiguration } from "../../fleet/example-configuration.js";
-import type { HostSpecification } from "../../fleet/fleet.js";
+import type { HostSpecification } from "../../fleet/fleet-options.js";
 import type { LoadFlow, LoadPhase } from "../load/load-plan.js";
 
 /** Services from the one that callers use to the deepest. */
--- a/packages/testbed/src/demo/meshes.ts
+++ b/packages/testbed/src/demo/meshes.ts
@@ -1,7 +1,7 @@
 /**
  * The two deployments that the demo runs, at small scale.
  */
-import type { HostSpecification } from "../fleet/fleet.js";
+import type { HostSpecification } from "../fleet/fleet-options.js";
 
 /** A kind of request that callers send. */
 export interface TrafficKind {
--- a/packages/testbed/src/fleet/fault-fleet.ts
+++ b/packages/testbed/src/fleet/fault-fleet.ts
@@ -3,9 +3,10 @@
  */
 import { setTimeout as sleep } from "node:timers/promises";
 import { createExampleConfiguration } from "./example-configuration.js";
-import { Fleet, waitFor } from "./fleet.js";
+import { Fleet } from "./fleet.js";
 import { findContradictions, RecordingCaller, waitForLogs } from "./recording-caller.js";
 import type { SendOptions, SendRecord } from "./recording-caller.js";
+import { waitFor } from "./wait-for.js";
 
 /** What a fleet for faults can differ in. */
 export interface FaultFleetOptions {
--- a/packages/testbed/src/fleet/fleet.ts
+++ b/packages/testbed/src/fleet/fleet.ts
@@ -7,7 +7,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { request } from "undici";
 import type { z } from "zod";
 import type { ProxyRoute, ProxyRule } from "../proxy/fault-proxy.js";
 import { runRecordSchema } from "../standin/backend-server.js";
@@ -16,67 +15,13 @@
 import type { PlatformFault } from "../standin/platform.js";
 import { FleetAddresses, ports } from "./addresses.js";
 import { Child } from "./child.js";
-
-/** One host of a fleet. */
-export interface HostSpecification {
-    readonly name: string;
-    readonly service: string;
-    readonly failureDomain: string;
-    readonly region: string;
-    readonly seat: number;
-    readonly behaviour?: z.input<typeof backendBehaviourSchema>;
-    /** Limits of the node's settings, such as `shutdownMs`. */
-    readonly limits?: Record<string, number>;
-}
-
-/** A fleet to start. */
-export interface FleetOptions {
-    readonly hosts: readonly HostSpecification[];
-    readonly configuration: Configuration;
-    /** Whether traffic between hosts and to the platform goes through the fault-injecting proxy. */
-    readonly proxied?: boolean;
-    /** Overload policies of the nodes, as in their settings; all when absent. */
-    readonly policy?: "full" | "plain" | { readonly without: readonly string[]; };
-    /** Whether nodes reach their backend servers past the proxy, which cannot refuse a connection as a host does. */
-    readonly directBackends?: boolean;
-    /** Distinguishes fleets of one process. */
-    readonly addressSeed?: number;
-    /** Rate limiter of the nodes; see the settings. */
-    readonly rateLimiter?: "leased" | "static";
-    /** Further settings of the nodes, such as `statsd`. */
-    readonly settings?: Record<string, unknown>;
-    /** Environment of the nodes, such as `DEBUG`. */
-    readonly environment?: Record<string, string>;
-}
-
-/** One host that is running. */
-export interface FleetHost {
-    readonly specification: HostSpecification;
-    readonly address: string;
-    readonly settingsFile: string;
-    node: Child;
-    backend: Child;
-}
+import { getJson, put } from "./control-calls.js";
+import type { FleetHost, FleetOptions, HostSpecification } from "./fleet-options.js";
+import { createNodeSettings } from "./node-settings.js";
+import { waitFor } from "./wait-for.js";
 
 const standInScript = fileURLToPath(new URL("../standin/main.js", import.meta.url));
 const daemonScript = fileURLToPath(new URL("bin/radishrouterd.js", import.meta.resolve("@radishrouter/daemon")));
-const deploymentSecret = "secret-of-the-test-deployment";
-const POLL_MS = 20;
-
-/** Waits until a condition holds; tests have no other timing bound than this limit against hanging. */
-export async function waitFor(
-    condition: () => boolean | Promise<boolean>,
-    what: string,
-    limitMs = 60_000,
-): Promise<void> {
-    const endMs = performance.now() + limitMs;
-    while (!await condition()) {
-        if (performance.now() > endMs) {
-            throw new Error(`waited ${limitMs} ms in vain until ${what}`);
-        }
-        await new Promise(resolve => setTimeout(resolve, POLL_MS));
-    }
-}
 
 /** Processes of a fleet, and what tests do to them. */
 export class Fleet {
@@ -144,8 +89,8 @@
 
     /** Calls that readers made to the platform so far; a waiting watch counts as one. */
     async platformReads(): Promise<number> {
-        const answer = await request(`http://${this.addresses.platform}:${ports.platform + 1}/statistics`);
-        return (await answer.body.json() as { reads: number; }).reads;
+        const url = `http://${this.addresses.platform}:${ports.platform + 1}/statistics`;
+        return (await getJson(url) as { reads: number; }).reads;
     }
 
     /** Sets how the platform answers readers. */
@@ -327,35 +272,13 @@
     private startHost(specification: HostSpecification, index: number): void {
         const address = this.addresses.host(index);
         const settingsFile = join(this.directory, `${specification.name}.json`);
-        const platformAddress = this.options.proxied ? this.addresses.proxiedPlatform : this.addresses.platform;
-        const settings = {
-            host: specification.name,
-            address,
-            loopbackAddress: address,
-            failureDomain: specification.failureDomain,
-            region: specification.region,
-            service: specification.service,
-            seat: specification.seat,
-            ports: {
-                callers: ports.callers,
-                forward: ports.forward,
-                control: ports.control,
-                backend: ports.backend,
-                operators: ports.operators,
-            },
-            backendServer: {
-                address: this.options.proxied && !this.options.directBackends ?
-                    this.addresses.proxiedHost(index) :
-                    address,
-                port: ports.backendServer,
-            },
-            platform: { url: `http://${platformAddress}:${ports.platform}` },
-            deploymentSecret,
-            policy: this.options.policy,
-            limits: specification.limits,
-            ...this.options.settings,
-            rateLimiter: this.options.rateLimiter,
-        };
+        const settings = createNodeSettings(this.options, specification, {
+            host: address,
+            platform: this.options.proxied ? this.addresses.proxiedPlatform : this.addresses.platform,
+            backendServer: this.options.proxied && !this.options.directBackends ?
+                this.addresses.proxiedHost(index) :
+                address,
+        });
         writeFileSync(settingsFile, JSON.stringify(settings));
         this.hosts.set(specification.name, {
             specification,
@@ -414,16 +337,3 @@
         await put(`http://${this.addresses.platform}:${ports.platform + 1}${path}`, value);
     }
 }
-
-async function put(url: string, value: unknown): Promise<void> {
-    const answer = await request(url, { method: "PUT", body: JSON.stringify(value) });
-    await answer.body.dump();
-    if (answer.statusCode !== 200) {
-        throw new Error(`${url} answered ${answer.statusCode}`);
-    }
-}
-
-async function getJson(url: string): Promise<unknown> {
-    const answer = await request(url);
-    return answer.body.json();
-}
--- a/packages/testbed/src/fleet/recording-caller.ts
+++ b/packages/testbed/src/fleet/recording-caller.ts
@@ -5,7 +5,7 @@
 import { Agent, request } from "undici";
 import type { RunRecord } from "../standin/backend-server.js";
 import type { Fleet } from "./fleet.js";
-import { waitFor } from "./fleet.js";
+import { waitFor } from "./wait-for.js";
 
 /** One send as its caller saw it. */
 export interface SendRecord {
--- a/packages/testbed/src/test/at-most-once.test.ts
+++ b/packages/testbed/src/test/at-most-once.test.ts
@@ -2,9 +2,10 @@
 import { after, afterEach, before, describe, test } from "node:test";
 import { request } from "undici";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
 import { findContradictions, RecordingCaller, waitForLogs } from "../fleet/recording-caller.js";
 import type { SendRecord } from "../fleet/recording-caller.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const failureDomains = {
     "goteborg": { region: "sweden", seats: 2 },
--- a/packages/testbed/src/test/crashing-request.test.ts
+++ b/packages/testbed/src/test/crashing-request.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { ENTRY, FaultFleet } from "../fleet/fault-fleet.js";
-import { waitFor } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const REQUEST_QUARANTINED = 2009;
 const INNOCENTS = 6;
--- a/packages/testbed/src/test/faults-together.test.ts
+++ b/packages/testbed/src/test/faults-together.test.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ports } from "../fleet/addresses.js";
 import { ENTRY, FaultFleet } from "../fleet/fault-fleet.js";
-import { waitFor } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const BOOKING_INTERVAL_MS = 10;
 const BOOKINGS = 60;
--- a/packages/testbed/src/test/fleet-rate.test.ts
+++ b/packages/testbed/src/test/fleet-rate.test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
 import { largestExcess, startTimes } from "../fleet/rate-check.js";
 import { SteadyLoad } from "../fleet/steady-load.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const RATE = 40;
 const BURST = 30;
--- a/packages/testbed/src/test/graceful-shutdown.test.ts
+++ b/packages/testbed/src/test/graceful-shutdown.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, test } from "node:test";
 import { ENTRY, FaultFleet } from "../fleet/fault-fleet.js";
-import { waitFor } from "../fleet/fleet.js";
 import type { SendRecord } from "../fleet/recording-caller.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const RUNNING_MS = 2_500;
 
--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -11,7 +11,8 @@
 import { request } from "undici";
 import { ports } from "../fleet/addresses.js";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 import { sendRaw } from "./raw-http.js";
 
 const example = createExampleConfiguration({
--- a/packages/testbed/src/test/ledger-faults.test.ts
+++ b/packages/testbed/src/test/ledger-faults.test.ts
@@ -4,7 +4,8 @@
 import { Pool } from "undici";
 import { ports } from "../fleet/addresses.js";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const BATCH = 48;
 const SERVICE_MS = 40;
--- a/packages/testbed/src/test/operators-view.test.ts
+++ b/packages/testbed/src/test/operators-view.test.ts
@@ -8,7 +8,8 @@
 import { request } from "undici";
 import { FleetAddresses } from "../fleet/addresses.js";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const STATSD_PORT = 8125;
 const addressSeed = process.pid;
--- a/packages/testbed/src/test/silent-connections.test.ts
+++ b/packages/testbed/src/test/silent-connections.test.ts
@@ -3,7 +3,7 @@
 import { after, afterEach, before, describe, test } from "node:test";
 import { ports } from "../fleet/addresses.js";
 import { ENTRY, FaultFleet } from "../fleet/fault-fleet.js";
-import { waitFor } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const PEER_CONNECTION_LOST = 3003;
 const SENDER_TOO_SLOW = "1007";
--- a/packages/testbed/src/test/whole-path.test.ts
+++ b/packages/testbed/src/test/whole-path.test.ts
@@ -2,7 +2,8 @@
 import { after, before, describe, test } from "node:test";
 import { request } from "undici";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
-import { Fleet, waitFor } from "../fleet/fleet.js";
+import { Fleet } from "../fleet/fleet.js";
+import { waitFor } from "../fleet/wait-for.js";
 
 const failureDomains = {
     "khomas-a": { region: "khomas", seats: 2 },
