Lower the rate of an organisation within its window instead of at once

Ruled out: tokens scattered over hosts (almost no refusals before the change). Change: PhasedLimit: a lowered rate and burst go down evenly within the window of the settings, a raised one is in force at once, and a share that shrinks because hosts joined still shrinks at once.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -14,6 +14,7 @@
 export * from "./process/organisation-quota.js";
 export * from "./process/own-instance.js";
 export * from "./process/peer-health.js";
+export * from "./process/phased-limit.js";
 export * from "./process/placement.js";
 export * from "./process/processor-guard.js";
 export * from "./process/request-log.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -59,6 +59,8 @@
     /** Time for which a leaving backend server may still get requests. */
     readonly drainMs: number;
     readonly retryBounds: RetryBounds;
+    /** Time within which a lowered rate of an organisation comes into force. */
+    readonly rateLoweredWithinMs: number;
     readonly log: { readonly decisionLinesPerSecond: number; readonly successSample: number; };
 }
 
@@ -105,7 +107,12 @@
         this.onwardPressure = OnwardPressure.create(clock);
         this.guard = ProcessorGuard.create(clock);
         this.placement = Placement.create(clock);
-        this.quota = OrganisationQuota.create(clock, settings.hostAddress, () => this.fleetHosts());
+        this.quota = OrganisationQuota.create(
+            clock,
+            settings.hostAddress,
+            () => this.fleetHosts(),
+            settings.rateLoweredWithinMs,
+        );
         this.metrics = MeshMetrics.create({
             load: () => this.gate.load(),
             configurationVersion: () => this.version?.configuration.version,
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -9,12 +9,18 @@
 import type { Clock } from "@radishrouter/core";
 import { highestScores } from "@radishrouter/core";
 import type { Organisation } from "../version/mesh-configuration.js";
+import { PhasedLimit } from "./phased-limit.js";
 
 interface Bucket {
     tokens: number;
     filledAtMs: number;
+    /** Rate and burst of the organisation over all hosts. */
+    readonly fleetRate: PhasedLimit;
+    readonly fleetBurst: PhasedLimit;
+    /** Part of the fleet's rate and burst that this host mints. */
+    part: number;
+    /** Rate that was in force when the bucket was filled last. */
     ratePerSecond: number;
-    burst: number;
     /** Requests a second that came to this node, weighted towards the last second. */
     demandPerSecond: number;
     demandAtMs: number;
@@ -46,13 +52,22 @@
         private readonly clock: Clock,
         private readonly ownAddress: string,
         private readonly hosts: () => readonly string[],
+        private readonly lowerWithinMs: number,
     ) {
         this.startedAtMs = clock.nowMs();
     }
 
-    /** A quota of the host at `ownAddress` in a fleet of `hosts`, which includes itself. */
-    static create(clock: Clock, ownAddress: string, hosts: () => readonly string[]): OrganisationQuota {
-        return new OrganisationQuota(clock, ownAddress, hosts);
+    /**
+     * A quota of the host at `ownAddress` in a fleet of `hosts`, which includes itself. A rate that is lowered goes
+     * down within `lowerWithinMs`.
+     */
+    static create(
+        clock: Clock,
+        ownAddress: string,
+        hosts: () => readonly string[],
+        lowerWithinMs: number,
+    ): OrganisationQuota {
+        return new OrganisationQuota(clock, ownAddress, hosts, lowerWithinMs);
     }
 
     /** Adopts the published organisations. */
@@ -153,8 +168,10 @@
             bucket = {
                 tokens: 0,
                 filledAtMs: this.startedAtMs,
+                fleetRate: PhasedLimit.create(this.clock, this.lowerWithinMs, organisation.ratePerSecond),
+                fleetBurst: PhasedLimit.create(this.clock, this.lowerWithinMs, organisation.burst),
+                part: 0,
                 ratePerSecond: 0,
-                burst: 0,
                 demandPerSecond: 0,
                 demandAtMs: this.clock.nowMs(),
             };
@@ -171,17 +188,23 @@
 
     private setShare(organisation: Organisation, bucket: Bucket): void {
         const { addresses, isOwnHolder } = this.holdersOf(organisation);
-        bucket.ratePerSecond = isOwnHolder ? organisation.ratePerSecond / addresses.length : 0;
-        bucket.burst = isOwnHolder ? organisation.burst / addresses.length : 0;
+        bucket.fleetRate.change(organisation.ratePerSecond);
+        bucket.fleetBurst.change(organisation.burst);
+        bucket.part = isOwnHolder ? 1 / addresses.length : 0;
+        bucket.ratePerSecond = bucket.fleetRate.current() * bucket.part;
     }
 
     /** Mints what has become due; tokens above the burst that another host gave are kept until they are used. */
     private fill(bucket: Bucket): void {
         const nowMs = this.clock.nowMs();
-        const earned = (nowMs - bucket.filledAtMs) / SECOND_MS * bucket.ratePerSecond;
+        const ratePerSecond = bucket.fleetRate.current() * bucket.part;
+        const meanRate = (bucket.ratePerSecond + ratePerSecond) / 2;
+        const earned = (nowMs - bucket.filledAtMs) / SECOND_MS * meanRate;
+        const burst = bucket.fleetBurst.current() * bucket.part;
+        bucket.ratePerSecond = ratePerSecond;
         bucket.filledAtMs = nowMs;
-        if (bucket.tokens < bucket.burst) {
-            bucket.tokens = Math.min(bucket.burst, bucket.tokens + earned);
+        if (bucket.tokens < burst) {
+            bucket.tokens = Math.min(burst, bucket.tokens + earned);
         }
     }
 
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -21,7 +21,7 @@
     const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}`);
     const hosts = new Map<string, SimulatedHost>();
     for (const address of addresses) {
-        const quota = OrganisationQuota.create(clock, address, () => addresses);
+        const quota = OrganisationQuota.create(clock, address, () => addresses, 1_000);
         quota.setOrganisations([organisation]);
         const broker = TokenBroker.create({
             clock,
@@ -102,7 +102,7 @@
 test("a process that starts holds no tokens of the one before it", async () => {
     const clock = ManualClock.create();
     const organisation = createOrganisation();
-    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1"]);
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1"], 1_000);
     quota.setOrganisations([organisation]);
     assert.equal(quota.tryTake(organisation), false);
     clock.advance(20);
@@ -112,7 +112,7 @@
 test("a host keeps what its own callers need", () => {
     const clock = ManualClock.create();
     const organisation = createOrganisation({ ratePerSecond: 20, burst: 20 });
-    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1", "10.0.0.2"]);
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1", "10.0.0.2"], 1_000);
     quota.setOrganisations([organisation]);
     quota.tryTake(organisation);
     clock.advance(1_000);
--- /dev/null
+++ b/packages/mesh/src/test/phased-limit.test.ts
@@ -0,0 +1,64 @@
+import { ManualClock } from "@radishrouter/core";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { OrganisationQuota, PhasedLimit } from "../index.js";
+import { createOrganisation } from "./example-values.js";
+
+const PHASE_MS = 5_000;
+const HOSTS = ["10.0.0.1", "10.0.0.2"];
+
+test("a lowered limit goes down evenly, and a raised one is in force at once", () => {
+    const clock = ManualClock.create();
+    const limit = PhasedLimit.create(clock, PHASE_MS, 100);
+    limit.change(50);
+    assert.equal(limit.current(), 100);
+    clock.advance(PHASE_MS / 2);
+    assert.equal(limit.current(), 75);
+    limit.change(25);
+    assert.equal(limit.current(), 75);
+    clock.advance(PHASE_MS);
+    assert.equal(limit.current(), 25);
+    limit.change(80);
+    assert.equal(limit.current(), 80);
+    assert.equal(limit.final, 80);
+});
+
+/** Requests within the rate in one second, when 100 are offered at one host. */
+function servedInSecond(
+    quota: OrganisationQuota,
+    clock: ManualClock,
+    organisation: ReturnType<typeof createOrganisation>,
+) {
+    let served = 0;
+    for (let request = 0; request < 100; request++) {
+        served += quota.tryTake(organisation) ? 1 : 0;
+        clock.advance(10);
+    }
+    return served;
+}
+
+test("callers of an organisation whose rate is halved see refusals rise, and the rate holds after the phase", () => {
+    const clock = ManualClock.create();
+    const before = createOrganisation({ ratePerSecond: 200, burst: 20 });
+    const after = createOrganisation({ ratePerSecond: 100, burst: 20 });
+    const quota = OrganisationQuota.create(clock, HOSTS[0]!, () => HOSTS, PHASE_MS);
+    quota.setOrganisations([before]);
+    assert.ok(servedInSecond(quota, clock, before) >= 99);
+    quota.setOrganisations([after]);
+    const served = Array.from({ length: 7 }, () => servedInSecond(quota, clock, after));
+    assert.ok(served[0]! >= 90, `${served}`);
+    assert.ok(served.every((count, second) => second === 0 || count <= served[second - 1]! + 1), `${served}`);
+    assert.ok(served[5]! <= 52 && served[6]! <= 52, `${served}`);
+});
+
+test("a share that shrinks because hosts joined is in force at once", () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation({ ratePerSecond: 100, burst: 10 });
+    let hosts = HOSTS.slice(0, 1);
+    const quota = OrganisationQuota.create(clock, HOSTS[0]!, () => hosts, PHASE_MS);
+    quota.setOrganisations([organisation]);
+    servedInSecond(quota, clock, organisation);
+    hosts = HOSTS;
+    quota.applyShares();
+    assert.ok(servedInSecond(quota, clock, organisation) <= 61);
+});
--- a/packages/mesh/src/test/request-admission.test.ts
+++ b/packages/mesh/src/test/request-admission.test.ts
@@ -25,7 +25,7 @@
     const clock = ManualClock.create();
     const lease = ConfigurationLease.create(clock, LEASE_MS, () => 0);
     lease.renew(lease.now());
-    const quota = OrganisationQuota.create(clock, ADDRESS, () => [ADDRESS]);
+    const quota = OrganisationQuota.create(clock, ADDRESS, () => [ADDRESS], 1_000);
     quota.setOrganisations(configuration?.organisations ?? []);
     clock.advance(1_000);
     lease.renew(lease.now());
