Send callers of an organisation far above its rate back later

Change: Retry-After grows with the excess of the demand over what the host mints; searches that find nothing pause 250 ms, then twice that, up to 1 s.

--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -27,16 +27,23 @@
     readonly end: Promise<void>;
 }
 
+/** Time in which no search is made because the last ones found nothing. */
+interface DrySpell {
+    readonly untilMs: number;
+    readonly durationMs: number;
+}
+
 const MAXIMUM_ASKED = 4;
-/** After a search that found nothing, the fleet is taken to have no tokens left for this time. */
-const DRY_MS = 250;
+/** After a search that found nothing, the fleet is taken to have no tokens left for this time; twice it after two. */
+const DRY_AT_LEAST_MS = 250;
+const DRY_AT_MOST_MS = 1_000;
 const RETRY_AFTER_AT_LEAST_MS = 150;
-const RETRY_AFTER_AT_MOST_MS = 1_500;
+const RETRY_AFTER_AT_MOST_MS = 2_000;
 
 /** Decides whether requests are within the rate of their organisation, with what other hosts can spare. */
 export class TokenBroker {
     private readonly searches = new Map<string, Search>();
-    private readonly dryUntilMs = new Map<string, number>();
+    private readonly dry = new Map<string, DrySpell>();
     /** Position, among the hosts that can be asked, at which the next search begins. */
     private readonly nextToAsk = new Map<string, number>();
     private readonly random: () => number;
@@ -57,7 +64,7 @@
             return { kind: "within", waitedMs: 0 };
         }
         const startedAtMs = clock.nowMs();
-        if (startedAtMs >= (this.dryUntilMs.get(organisation.name) ?? 0)) {
+        if (startedAtMs >= (this.dry.get(organisation.name)?.untilMs ?? 0)) {
             await this.search(organisation);
             if (quota.tryTake(organisation)) {
                 return { kind: "within", waitedMs: clock.nowMs() - startedAtMs };
@@ -99,8 +106,12 @@
         }
         this.searches.delete(name);
         this.continueAfter(organisation, asked, received > 0);
-        if (received === 0) {
-            this.dryUntilMs.set(name, clock.nowMs() + DRY_MS);
+        if (received > 0) {
+            this.dry.delete(name);
+        }
+        else {
+            const durationMs = Math.min(DRY_AT_MOST_MS, (this.dry.get(name)?.durationMs ?? DRY_AT_LEAST_MS / 2) * 2);
+            this.dry.set(name, { untilMs: clock.nowMs() + durationMs, durationMs });
         }
     }
 
@@ -123,9 +134,15 @@
         this.nextToAsk.set(organisation.name, Math.max(0, index + (hasGiven ? 0 : 1)));
     }
 
-    /** Time after which a request finds a token, spread so that those refused together do not return together. */
+    /**
+     * Time after which a request may find a token, spread so that those refused together do not return together. When
+     * much more is asked than there are tokens, who returns early is refused again, so that the time grows with the
+     * excess.
+     */
     private retryAfterMs(organisation: Organisation): number {
-        const untilMs = this.parts.quota.untilTokenMs(organisation);
+        const { quota } = this.parts;
+        const untilMs = Math.max(RETRY_AFTER_AT_LEAST_MS, quota.untilTokenMs(organisation)) *
+            quota.excess(organisation);
         const leastMs = Math.min(RETRY_AFTER_AT_MOST_MS, Math.max(RETRY_AFTER_AT_LEAST_MS, untilMs));
         return leastMs * (1 + this.random());
     }
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -161,6 +161,14 @@
         return bucket.ratePerSecond > 0 ? missing / bucket.ratePerSecond * SECOND_MS : Infinity;
     }
 
+    /** Requests that come to this host for each token that it mints; at least 1. */
+    excess(organisation: Organisation): number {
+        const bucket = this.bucketOf(organisation);
+        this.fill(bucket);
+        this.decayDemand(bucket);
+        return bucket.ratePerSecond > 0 ? Math.max(1, bucket.demandPerSecond / bucket.ratePerSecond) : 1;
+    }
+
     private bucketOf(organisation: Organisation): Bucket {
         let bucket = this.buckets.get(organisation.name);
         if (!bucket) {
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -131,3 +131,42 @@
     const [host] = createFleet(clock, organisation, 1);
     assert.equal(await offer(host!, organisation), true);
 });
+
+interface ReturningCaller {
+    readonly askedAtMs: number;
+    readonly returnsAtMs: number;
+}
+
+test("callers far above the rate come back seldom, and the rate is still used whole", async () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation({ ratePerSecond: 40, burst: 40 });
+    const [host] = createFleet(clock, organisation, 1);
+    const patienceMs = 6_000;
+    const spanMs = 20_000;
+    let callers: ReturningCaller[] = [];
+    let requests = 0;
+    let served = 0;
+    let refusals = 0;
+    const ask = async (askedAtMs: number) => {
+        const decision = await host!.broker.take(organisation);
+        const returnsAtMs = clock.nowMs() + (decision.kind === "over" ? decision.retryAfterMs : 0);
+        served += decision.kind === "within" ? 1 : 0;
+        refusals += decision.kind === "over" ? 1 : 0;
+        if (decision.kind === "over" && returnsAtMs < askedAtMs + patienceMs) {
+            callers.push({ askedAtMs, returnsAtMs });
+        }
+    };
+    const startMs = clock.nowMs();
+    while (clock.nowMs() < startMs + spanMs) {
+        const due = callers.filter(caller => caller.returnsAtMs <= clock.nowMs());
+        callers = callers.filter(caller => caller.returnsAtMs > clock.nowMs());
+        for (const caller of due) {
+            await ask(caller.askedAtMs);
+        }
+        requests++;
+        await ask(clock.nowMs());
+        clock.advance(5);
+    }
+    assert.ok(served >= 0.98 * 40 * spanMs / 1_000, `${served} served`);
+    assert.ok(refusals / requests <= 4, `${refusals} refusals for ${requests} requests`);
+});
