--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -124,6 +124,12 @@
             void this.run(number, request, receivedAtMs - delayMs);
             return;
         }
+        this.parts.log.decision("forwarded-request-late", {
+            request: request.id,
+            route: request.routeName,
+            delayMs: Math.round(delayMs),
+            remainingMs: Math.round(request.remainingMs - delayMs),
+        });
         const timer = clock.setTimer(CANCELLATION_WAIT_MS, () => {
             this.late.delete(number);
             void this.run(number, request, receivedAtMs - delayMs);
