Say what each organisation got from nodes on the platform

Cause: "who got what when capacity ran short" could not be answered on the platform: metrics knew routes, not organisations, and `radishrouter report` asks the product's own interface. Change: nodes count for each organisation answers, failures, refusals for rate and for room, and lost requests, in one look-up a request; the metrics listener gives them out; `radishrouter use` adds them up and names what is missing. Admission says whose a request is before it decides, so that refusals are counted too.

--- a/packages/cli/src/command/command-line.ts
+++ b/packages/cli/src/command/command-line.ts
@@ -13,6 +13,7 @@
 import { presentReport, runReport } from "./report-command.js";
 import { collectStatus, formatStatus } from "./status-command.js";
 import { formatTrace, traceRequest } from "./trace-command.js";
+import { collectUse, formatUse } from "./use-command.js";
 
 /** Where a command writes. */
 export interface CommandOutput {
@@ -56,6 +57,7 @@
     addReportCommand(commandLine, output, finish);
     addStatusCommands(commandLine, output, finish);
     addTraceCommand(commandLine, output);
+    addUseCommand(commandLine, output, finish);
     commandLine.help(sections => [
         ...sections,
         {
@@ -210,3 +212,15 @@
             output.print(options.json ? JSON.stringify(trace) : formatTrace(trace, detectTableStyle()));
         });
 }
+
+function addUseCommand(commandLine: CAC, output: CommandOutput, finish: (code: number) => void): void {
+    commandLine.command("use [...urls]", "Show what each organisation got from nodes on the platform")
+        .option("--hosts <file>", "JSON list of the URLs of nodes' metrics listeners")
+        .option("--json", "Print JSON")
+        .example("radishrouter use http://10.1.0.26:7015 http://10.1.0.27:7015")
+        .action(async (urls: string[], options: NodeOptions) => {
+            const use = await collectUse(readNodes(urls, options));
+            output.print(options.json ? JSON.stringify(use) : formatUse(use, detectTableStyle()));
+            finish(use.missing.length === 0 ? exitCodes.success : exitCodes.incomplete);
+        });
+}
--- /dev/null
+++ b/packages/cli/src/command/use-command.ts
@@ -0,0 +1,84 @@
+/**
+ * `radishrouter use`: what each organisation got from nodes on the platform.
+ */
+import { NODE_USE_PATH, nodeUseSchema } from "@radishrouter/core";
+import type { NodeUse, OrganisationUse } from "@radishrouter/core";
+import { askNodes } from "../node/node-client.js";
+import { formatTable } from "../output/text-table.js";
+import type { TableStyle } from "../output/text-table.js";
+
+/** A node that did not answer. */
+export interface MissingNode {
+    readonly url: string;
+    readonly reason: string;
+}
+
+/** Counts over all nodes that answered. */
+export interface FleetUse {
+    /** Start of the youngest process: what was counted before on its host is not in the sums. */
+    readonly youngestStart: string | undefined;
+    readonly organisations: readonly OrganisationUse[];
+    readonly missing: readonly MissingNode[];
+}
+
+const PERCENT = 100;
+
+/** Asks nodes, at their metrics listeners, and adds up what they say. */
+export async function collectUse(urls: readonly string[]): Promise<FleetUse> {
+    const answers = await askNodes(urls, NODE_USE_PATH, nodeUseSchema);
+    const uses = answers.flatMap(answer => answer.kind === "answered" ? [answer.value] : []);
+    const missing = answers.flatMap(answer =>
+        answer.kind === "unreachable" ? [{ url: answer.url, reason: answer.reason }] : []
+    );
+    return {
+        youngestStart: uses.map(({ startedAt }) => startedAt).sort().at(-1),
+        organisations: addUses(uses),
+        missing,
+    };
+}
+
+/** Formats the use of a fleet for people. */
+export function formatUse(use: FleetUse, style: TableStyle): string {
+    const head = ["organisation", "asked", "answered", "share", "failed by server", "over rate", "no room", "lost"];
+    const rows = use.organisations.map(counts => {
+        const asked = countAsked(counts);
+        const share = asked === 0 ? "-" : `${(counts.answered / asked * PERCENT).toFixed(1)}%`;
+        return [
+            counts.organisation === "" ? "(calls without a key)" : counts.organisation,
+            asked,
+            counts.answered,
+            share,
+            counts.failedByServer,
+            counts.refusedForRate,
+            counts.refusedForRoom,
+            counts.lost,
+        ];
+    });
+    const notes = use.missing.map(({ url, reason }) => `missing: ${url}: ${reason}`);
+    const since = use.youngestStart === undefined ? [] : [`youngest process started ${use.youngestStart}`];
+    return [formatTable({ head, rows }, style), ...since, ...notes].join("\n");
+}
+
+function addUses(uses: readonly NodeUse[]): OrganisationUse[] {
+    const sums = new Map<string, OrganisationUse>();
+    for (const counts of uses.flatMap(({ organisations }) => organisations)) {
+        const sum = sums.get(counts.organisation);
+        sums.set(counts.organisation, sum ? add(sum, counts) : counts);
+    }
+    return [...sums.values()].sort((left, right) => left.organisation < right.organisation ? -1 : 1);
+}
+
+function add(left: OrganisationUse, right: OrganisationUse): OrganisationUse {
+    return {
+        organisation: left.organisation,
+        answered: left.answered + right.answered,
+        failedByServer: left.failedByServer + right.failedByServer,
+        refusedForRate: left.refusedForRate + right.refusedForRate,
+        refusedForRoom: left.refusedForRoom + right.refusedForRoom,
+        lost: left.lost + right.lost,
+    };
+}
+
+function countAsked(counts: OrganisationUse): number {
+    return counts.answered + counts.failedByServer + counts.refusedForRate + counts.refusedForRoom + counts.lost;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./process/membership-agent.js";
 export * from "./process/membership-view.js";
 export * from "./process/operator-interface.js";
+export * from "./process/organisation-use.js";
 export * from "./process/outcome-ledger.js";
 export * from "./process/pause-watch.js";
 export * from "./process/quarantine.js";
--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -7,6 +7,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
+import { useOutcomeOf } from "../process/organisation-tally.js";
+import type { OrganisationTally } from "../process/organisation-tally.js";
 import type { RequestLog } from "../process/request-log.js";
 import { HeaderFilter } from "../request/header-filter.js";
 import type { HeaderNames } from "../request/header-names.js";
@@ -33,6 +35,7 @@
     readonly ownService: string;
     readonly log: RequestLog;
     readonly metrics: MeshMetrics;
+    readonly tally: OrganisationTally;
     readonly lifeCycle: LifeCycle;
 }
 
@@ -76,6 +79,8 @@
     private readonly startedAtMs: number;
     private readonly id: string;
     private route: Route | undefined;
+    /** Name of the organisation; empty while none is known. */
+    private organisation = "";
     private relay: Relay | undefined;
     private isCallerGone = false;
 
@@ -105,7 +110,9 @@
             const { host, [this.parts.headerNames.key]: key } = this.request.headers;
             const routed = admission.findRoute(host ?? "", this.request.url ?? "");
             this.route = routed.route;
-            const admitted = await admission.admit(routed, typeof key === "string" ? key : undefined);
+            const identified = admission.identify(routed, typeof key === "string" ? key : undefined);
+            this.organisation = identified.organisation?.name ?? "";
+            const admitted = await admission.admit(identified);
             this.sendAnswer(await this.run(admitted));
         }
         catch (error) {
@@ -173,6 +180,7 @@
         const { parts, response } = this;
         const elapsedMs = parts.clock.nowMs() - this.startedAtMs;
         parts.metrics.recordAnswer(this.route?.name ?? "", answer.status, elapsedMs);
+        parts.tally.record(this.organisation, isServerFailure(answer) ? "failedByServer" : "answered");
         if (isServerFailure(answer)) {
             this.logEnd("request-failed-by-server", { status: answer.status });
         }
@@ -193,6 +201,10 @@
         const { parts, response } = this;
         const failure = toRefusal(error);
         parts.metrics.recordFailure(this.route?.name ?? "", failure.result.name);
+        const outcome = useOutcomeOf(failure);
+        if (outcome) {
+            parts.tally.record(this.organisation, outcome);
+        }
         this.logEnd("request-ended", {
             result: failure.result.name,
             code: failure.result.code,
--- a/packages/mesh/src/connection/status-server.ts
+++ b/packages/mesh/src/connection/status-server.ts
@@ -1,6 +1,8 @@
 /**
  * Readiness and metrics of a node.
  */
+import { NODE_USE_PATH } from "@radishrouter/core";
+import type { NodeUse } from "@radishrouter/core";
 import { createServer } from "node:http";
 import type { Server } from "node:http";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
@@ -21,9 +23,13 @@
     return server;
 }
 
-/** Creates the server that gives out metrics. */
-export function createMetricsServer(path: string, metrics: MeshMetrics): Server {
+/** Creates the server that gives out metrics, and what each organisation got. */
+export function createMetricsServer(path: string, metrics: MeshMetrics, use: () => NodeUse): Server {
     return createServer((request, response) => {
+        if (request.url === NODE_USE_PATH) {
+            response.writeHead(OK_STATUS, { "content-type": "application/json" }).end(JSON.stringify(use()));
+            return;
+        }
         if (request.url !== path) {
             response.writeHead(NOT_FOUND_STATUS).end();
             return;
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -1,7 +1,7 @@
 /**
  * One node of a mesh: its parts, its listeners, how it starts and how it stops.
  */
-import type { Clock } from "@radishrouter/core";
+import type { Clock, NodeUse } from "@radishrouter/core";
 import { SystemClock } from "@radishrouter/core";
 import type { Server } from "node:http";
 import type { Server as NetServer } from "node:net";
@@ -22,6 +22,7 @@
 import { MeshMetrics } from "./mesh-metrics.js";
 import { OnwardPressure } from "./onward-pressure.js";
 import { OrganisationQuota } from "./organisation-quota.js";
+import { OrganisationTally } from "./organisation-tally.js";
 import { OwnInstance } from "./own-instance.js";
 import { PeerHealth } from "./peer-health.js";
 import { Placement } from "./placement.js";
@@ -88,6 +89,8 @@
     private readonly quota: OrganisationQuota;
     private readonly allowances = new Map<string, RetryAllowance>();
     private readonly metrics: MeshMetrics;
+    private readonly tally = OrganisationTally.create();
+    private readonly startedAt = new Date().toISOString();
     private readonly server: ServerClient;
     private readonly peers: PeerClient;
     private readonly peerServer: PeerServer;
@@ -159,7 +162,10 @@
         const readiness = createReadinessServer(settings.readiness.path, () => this.isReady());
         await this.openHttp(readiness, settings.readiness);
         if (settings.metrics) {
-            await this.openHttp(createMetricsServer(settings.metrics.path, this.metrics), settings.metrics);
+            await this.openHttp(
+                createMetricsServer(settings.metrics.path, this.metrics, () => this.use()),
+                settings.metrics,
+            );
         }
         this.callerServer = createCallerServer(this.callerServerParts());
         await this.openHttp(this.callerServer, settings.callers);
@@ -207,6 +213,11 @@
         log.flush();
     }
 
+    private use(): NodeUse {
+        const { host, service } = this.settings;
+        return { host, service, startedAt: this.startedAt, organisations: this.tally.list() };
+    }
+
     private isReady(): boolean {
         return this.version !== undefined && this.directory.hasList && !this.lifeCycle.isStopping &&
             this.lease.isValid();
@@ -262,6 +273,7 @@
             }),
             log,
             metrics,
+            tally: this.tally,
             lifeCycle,
             version: () => this.version,
             headerNames: settings.headerNames,
--- a/packages/mesh/src/request/request-admission.ts
+++ b/packages/mesh/src/request/request-admission.ts
@@ -26,10 +26,14 @@
     readonly route: Route;
 }
 
-/** A request that is to be served. */
-export interface AdmittedRequest extends RoutedRequest {
+/** A request whose organisation is known. */
+export interface IdentifiedRequest extends RoutedRequest {
     /** Organisation of the caller's key; undefined where none is needed. */
     readonly organisation: Organisation | undefined;
+}
+
+/** A request that is to be served. */
+export interface AdmittedRequest extends IdentifiedRequest {
     /** Service that the route's split chose. */
     readonly service: string;
     /** Whether the request is part of another one that already runs somewhere. */
@@ -67,12 +71,21 @@
     }
 
     /**
-     * Decides about a routed request; waits only while other hosts are asked for tokens of its organisation.
+     * Finds the organisation that a routed request is of, by its key.
+     *
+     * @throws RequestError when a key is needed and none is held by an organisation, or keys cannot be proved current.
+     */
+    identify(routed: RoutedRequest, key: string | undefined): IdentifiedRequest {
+        const { version, route } = routed;
+        return { version, route, organisation: this.findOrganisation(version, route, key) };
+    }
+
+    /**
+     * Decides about a request; waits only while other hosts are asked for tokens of its organisation.
      *
      * @throws RequestError when it is refused.
      */
-    async admit({ version, route }: RoutedRequest, key: string | undefined): Promise<AdmittedRequest> {
-        const organisation = this.identify(version, route, key);
+    async admit({ version, route, organisation }: IdentifiedRequest): Promise<AdmittedRequest> {
         const service = this.parts.split.next(route);
         const isOnwardCall = version.needsKeys && route.isPublic;
         if (!isOnwardCall) {
@@ -84,7 +97,7 @@
         return { version, route, organisation, service, isOnwardCall };
     }
 
-    private identify(version: MeshVersion, route: Route, key: string | undefined): Organisation | undefined {
+    private findOrganisation(version: MeshVersion, route: Route, key: string | undefined): Organisation | undefined {
         // Onward calls carry no key; where keys are needed, public routes are theirs.
         if (!version.needsKeys || route.isPublic) {
             return undefined;
--- /dev/null
+++ b/packages/mesh/src/test/organisation-tally.test.ts
@@ -0,0 +1,51 @@
+import { NODE_USE_PATH, nodeUseSchema, RequestError } from "@radishrouter/core";
+import assert from "node:assert/strict";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { createMetricsServer, MeshMetrics, OrganisationTally, useOutcomeOf } from "../index.js";
+
+test("refusals are told apart by what the organisation can do about them", () => {
+    assert.equal(useOutcomeOf(RequestError.create("rate-exceeded")), "refusedForRate");
+    assert.equal(useOutcomeOf(RequestError.create("overloaded")), "refusedForRoom");
+    assert.equal(useOutcomeOf(RequestError.create("no-backend-server")), "refusedForRoom");
+    assert.equal(useOutcomeOf(RequestError.create("deadline-exceeded")), "lost");
+    assert.equal(useOutcomeOf(RequestError.create("backend-connection-lost")), "lost");
+    assert.equal(useOutcomeOf(RequestError.create("route-unknown")), undefined);
+});
+
+test("the metrics listener gives out the counts of each organisation, and the metrics", async () => {
+    const tally = OrganisationTally.create();
+    tally.record("archive", "answered");
+    tally.record("archive", "answered");
+    tally.record("mission", "refusedForRate");
+    const metrics = MeshMetrics.create({
+        load: () => ({ open: 0, waiting: 0, limit: 1 }),
+        configurationVersion: () => 7,
+        proofAgeMs: () => 0,
+        knownServers: () => 2,
+    });
+    const server = createMetricsServer("/metrics", metrics, () => ({
+        host: "host-1",
+        service: "catalogue",
+        startedAt: "2026-12-04T10:00:00.000Z",
+        organisations: tally.list(),
+    }));
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const use = nodeUseSchema.parse(await (await fetch(url + NODE_USE_PATH)).json());
+    assert.deepEqual(
+        use.organisations.map(({ organisation, answered, refusedForRate }) => ({
+            organisation,
+            answered,
+            refusedForRate,
+        })),
+        [
+            { organisation: "archive", answered: 2, refusedForRate: 0 },
+            { organisation: "mission", answered: 0, refusedForRate: 1 },
+        ],
+    );
+    assert.match(await (await fetch(`${url}/metrics`)).text(), /radishrouter_configuration_version 7/);
+    assert.equal((await fetch(`${url}/other`)).status, 404);
+    server.closeAllConnections();
+    server.close();
+});
--- a/packages/mesh/src/test/request-admission.test.ts
+++ b/packages/mesh/src/test/request-admission.test.ts
@@ -46,7 +46,7 @@
         split: WeightedSplit.create(),
     });
     const decide = async (path: string, key?: string): Promise<AdmittedRequest> =>
-        await admission.admit(admission.findRoute(HOST, path), key);
+        await admission.admit(admission.identify(admission.findRoute(HOST, path), key));
     return { clock, throttle, decide };
 }
 
