--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -163,7 +163,7 @@
         await this.openHttp(readiness, settings.readiness);
         if (settings.metrics) {
             await this.openHttp(
-                createMetricsServer(settings.metrics.path, this.metrics, () => this.use()),
+                createMetricsServer(settings.metrics.path, this.metrics, () => this.organisationUse()),
                 settings.metrics,
             );
         }
@@ -213,7 +213,7 @@
         log.flush();
     }
 
-    private use(): NodeUse {
+    private organisationUse(): NodeUse {
         const { host, service } = this.settings;
         return { host, service, startedAt: this.startedAt, organisations: this.tally.list() };
     }
