Carry what a request is in one object from the caller to the server

Cause: three types held the same eight fields, and three places copied them one by one; the two failure variants of an outcome stood twice, once for the links; the priority of a request was worked out twice. Change: RequestContent is made once and passed on in RelayedRequest, ForwardedRequest and ServerRequest; Unanswered is the one type of an end without an answer; priorityOf. Removed, as nothing read it: the hooks of an exchange (left from forwards over HTTP), closing a pool gracefully, the waiting times in decisions of gate and broker. The pause after searches without result is doubled without halving it first. Ruled out: removing PhasedLimit.final and the result of PeerHealth.record, which only tests read, as they assert them. No behaviour changes but the nesting of the fields in messages between nodes.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -16,6 +16,7 @@
 import { Relay } from "../request/relay.js";
 import type { RelayParts } from "../request/relay.js";
 import type { RelayedRequest } from "../request/relayed-request.js";
+import { priorityOf } from "../request/request-admission.js";
 import type { AdmittedRequest, RequestAdmission } from "../request/request-admission.js";
 import type { ConfigurationLease } from "../version/configuration-lease.js";
 import type { Organisation, Route } from "../version/mesh-configuration.js";
@@ -145,15 +146,19 @@
         const deadlineMs = this.startedAtMs + this.readDeadlineMs();
         const giveUpAtMs = Math.min(deadlineMs, this.startedAtMs + route.timeoutMs);
         const objectiveAtMs = this.startedAtMs + route.latencyObjectiveMs;
-        return {
+        const content = {
             id: this.id,
             method: this.request.method ?? "GET",
             target: this.request.url ?? "/",
             headers: this.createHeaders(organisation),
             body,
-            route,
-            priority: organisation?.priority ?? route.priority,
+            routeName: route.name,
+            priority: priorityOf(admitted),
             isOnwardCall,
+        };
+        return {
+            content,
+            route,
             giveUpAtMs,
             answerByMs: isOnwardCall ? giveUpAtMs : Math.min(giveUpAtMs, objectiveAtMs),
         };
--- a/packages/mesh/src/connection/http-exchange.ts
+++ b/packages/mesh/src/connection/http-exchange.ts
@@ -28,14 +28,6 @@
     | { readonly kind: "answered"; readonly response: ExchangeResponse; }
     | { readonly kind: "failed"; readonly sent: boolean; readonly reason: string; };
 
-/** Hooks into a running exchange. */
-export interface ExchangeObserver {
-    /** Called when the request is written to a connection. */
-    readonly onSent?: () => void;
-    /** Called for each informational answer. */
-    readonly onInformation?: () => void;
-}
-
 /** An exchange that runs. */
 export interface Exchange {
     readonly result: Promise<ExchangeResult>;
@@ -103,8 +95,8 @@
     }
 
     /** Starts an exchange. */
-    start(request: ExchangeRequest, observer: ExchangeObserver = {}): Exchange {
-        const handler = new ExchangeHandler(observer, () => this.isResetting);
+    start(request: ExchangeRequest): Exchange {
+        const handler = new ExchangeHandler(() => this.isResetting);
         try {
             this.pool.dispatch(
                 {
@@ -137,11 +129,6 @@
     async destroy(): Promise<void> {
         await this.pool.destroy();
     }
-
-    /** Closes connections as their exchanges end. */
-    async close(): Promise<void> {
-        await this.pool.close();
-    }
 }
 
 /** Collects one answer. */
@@ -156,7 +143,7 @@
     private readonly chunks: Buffer[] = [];
     private receivedBytes = 0;
 
-    constructor(private readonly observer: ExchangeObserver, private readonly isResetting: () => boolean) {
+    constructor(private readonly isResetting: () => boolean) {
         this.result = new Promise(settle => {
             this.settle = settle;
         });
@@ -179,12 +166,10 @@
             return;
         }
         this.sent = true;
-        this.observer.onSent?.();
     }
 
     onHeaders(status: number, rawHeaders: Buffer[]): boolean {
         if (status < FIRST_FINAL_STATUS) {
-            this.observer.onInformation?.();
             return true;
         }
         this.status = status;
--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -2,22 +2,15 @@
  * Messages between two nodes. They travel on one connection in both directions, each encoded by the library.
  */
 import type { GateLoad } from "../process/server-gate.js";
-import type { NotRunReason, UnknownReason } from "../request/outcome.js";
+import type { Unanswered } from "../request/outcome.js";
+import type { RequestContent } from "../request/relayed-request.js";
 
 /** A request that is forwarded to the node beside a backend server. */
 export interface ForwardedRequest {
-    readonly id: string;
-    readonly method: string;
-    readonly target: string;
-    /** Names and values by turns. */
-    readonly headers: readonly string[];
-    readonly body: Buffer | undefined;
-    /** Service of the backend server that the sender chose. */
+    readonly content: RequestContent;
+    /** Service and instance of the backend server that the sender chose. */
     readonly service: string;
     readonly instance: string;
-    readonly routeName: string;
-    readonly priority: number;
-    readonly isOnwardCall: boolean;
     /** Milliseconds until the sender gives the request up. */
     readonly remainingMs: number;
     /** Milliseconds until an answer is no longer of full use. */
@@ -32,13 +25,7 @@
         readonly headers: readonly string[];
         readonly body: Buffer;
     }
-    | {
-        readonly kind: "not-run";
-        readonly reason: NotRunReason;
-        readonly reached: boolean;
-        readonly retryAfterMs: number;
-    }
-    | { readonly kind: "unknown"; readonly reason: UnknownReason; readonly detail: string; };
+    | Unanswered;
 
 /** State of a node, told with what it sends. */
 export interface NodeState {
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -67,16 +67,9 @@
     private forwarded(server: KnownServer, request: RelayedRequest): ForwardedRequest {
         const nowMs = this.parts.clock.nowMs();
         return {
-            id: request.id,
-            method: request.method,
-            target: request.target,
-            headers: request.headers,
-            body: request.body,
+            content: request.content,
             service: server.service,
             instance: server.instance,
-            routeName: request.route.name,
-            priority: request.priority,
-            isOnwardCall: request.isOnwardCall,
             remainingMs: Math.max(0, Math.floor(request.giveUpAtMs - nowMs)),
             answerInMs: Math.floor(request.answerByMs - nowMs),
         };
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -9,7 +9,7 @@
 import type { OrganisationQuota } from "../process/organisation-quota.js";
 import type { RequestLog } from "../process/request-log.js";
 import type { ServerGate } from "../process/server-gate.js";
-import type { Outcome, Send } from "../request/outcome.js";
+import type { Outcome, Send, Unanswered } from "../request/outcome.js";
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import type { ServerClient } from "./server-client.js";
@@ -125,8 +125,8 @@
             return;
         }
         this.parts.log.decision("forwarded-request-late", {
-            request: request.id,
-            route: request.routeName,
+            request: request.content.id,
+            route: request.content.routeName,
             delayMs: Math.round(delayMs),
             remainingMs: Math.round(request.remainingMs - delayMs),
         });
@@ -160,14 +160,7 @@
 
     private start(request: ForwardedRequest, sentAtMs: number): Send {
         return this.parts.server.send({
-            id: request.id,
-            method: request.method,
-            target: request.target,
-            headers: request.headers,
-            body: request.body,
-            routeName: request.routeName,
-            priority: request.priority,
-            isOnwardCall: request.isOnwardCall,
+            content: request.content,
             service: request.service,
             instance: request.instance,
             giveUpAtMs: sentAtMs + request.remainingMs,
@@ -184,11 +177,11 @@
         };
     }
 
-    private logEnd(request: ForwardedRequest, outcome: Exclude<Outcome, { kind: "answered"; }>): void {
+    private logEnd(request: ForwardedRequest, outcome: Unanswered): void {
         const { open, waiting, limit } = this.parts.gate.load();
         this.parts.log.decision("forwarded-request-not-answered", {
-            request: request.id,
-            route: request.routeName,
+            request: request.content.id,
+            route: request.content.routeName,
             reason: outcome.kind === "not-run" ? outcome.reason : `${outcome.reason}: ${outcome.detail}`,
             open,
             waiting,
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -61,9 +61,9 @@
             return this.refuse(NOT_CONNECTED);
         }
         const ticket = this.parts.gate.enter({
-            route: request.routeName,
-            priority: request.priority,
-            isOnwardCall: request.isOnwardCall,
+            route: request.content.routeName,
+            priority: request.content.priority,
+            isOnwardCall: request.content.isOnwardCall,
             answerByMs: request.answerByMs,
         });
         const run = new ServerRun(ticket);
@@ -106,23 +106,24 @@
         if (run.abortReason !== undefined || remainingMs < 1) {
             return { kind: "not-run", reason: "no-time-left", reached: false, retryAfterMs: 0 };
         }
+        const { method, target, body } = request.content;
         run.exchange = this.pool.start({
-            method: request.method,
-            path: request.target,
+            method,
+            path: target,
             headers: this.headersOf(request, remainingMs),
-            body: request.body,
+            body,
         });
         const result = await run.exchange.result;
         if (result.kind === "failed") {
             return this.readFailure(result.sent, result.reason, run.abortReason);
         }
         this.parts.gate.setTrial(false);
-        return this.read(request, result.response);
+        return this.read(request.content.id, result.response);
     }
 
     private headersOf(request: ServerRequest, remainingMs: number): string[] {
         const { headerNames } = this.parts;
-        const headers = [...request.headers, headerNames.deadline, String(remainingMs)];
+        const headers = [...request.content.headers, headerNames.deadline, String(remainingMs)];
         const instance = this.parts.ownInstance.current ?? request.instance;
         if (instance !== "") {
             headers.push(headerNames.expectedInstance, instance);
@@ -143,10 +144,10 @@
     }
 
     /** Accepts an answer only if it is the whole answer to this very request. */
-    private read(request: ServerRequest, response: ExchangeResponse): Outcome {
+    private read(id: string, response: ExchangeResponse): Outcome {
         const { headerNames } = this.parts;
         const { headers, status } = response;
-        if (headers.get(headerNames.attemptId) !== request.id && request.id !== "") {
+        if (headers.get(headerNames.attemptId) !== id && id !== "") {
             return { kind: "unknown", reason: "answer-invalid", detail: "the answer names another request" };
         }
         if (headers.get("content-encoding") !== undefined) {
--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -7,7 +7,7 @@
 
 /** Whether a request is within the rate of its organisation. */
 export type QuotaDecision =
-    | { readonly kind: "within"; readonly waitedMs: number; }
+    | { readonly kind: "within"; }
     | { readonly kind: "over"; readonly retryAfterMs: number; };
 
 /** Parts of a broker. */
@@ -34,7 +34,7 @@
 }
 
 const MAXIMUM_ASKED = 4;
-/** After a search that found nothing, the fleet is taken to have no tokens left for this time; twice it after two. */
+/** After a search that found nothing, the fleet is taken to have no tokens for this time, doubled for each further. */
 const DRY_AT_LEAST_MS = 250;
 const DRY_AT_MOST_MS = 1_000;
 const RETRY_AFTER_AT_LEAST_MS = 150;
@@ -61,13 +61,12 @@
         const { clock, quota } = this.parts;
         quota.recordDemand(organisation);
         if (quota.tryTake(organisation)) {
-            return { kind: "within", waitedMs: 0 };
+            return { kind: "within" };
         }
-        const startedAtMs = clock.nowMs();
-        if (startedAtMs >= (this.dry.get(organisation.name)?.untilMs ?? 0)) {
+        if (clock.nowMs() >= (this.dry.get(organisation.name)?.untilMs ?? 0)) {
             await this.search(organisation);
             if (quota.tryTake(organisation)) {
-                return { kind: "within", waitedMs: clock.nowMs() - startedAtMs };
+                return { kind: "within" };
             }
         }
         return { kind: "over", retryAfterMs: this.retryAfterMs(organisation) };
@@ -110,7 +109,8 @@
             this.dry.delete(name);
         }
         else {
-            const durationMs = Math.min(DRY_AT_MOST_MS, (this.dry.get(name)?.durationMs ?? DRY_AT_LEAST_MS / 2) * 2);
+            const before = this.dry.get(name);
+            const durationMs = before ? Math.min(DRY_AT_MOST_MS, before.durationMs * 2) : DRY_AT_LEAST_MS;
             this.dry.set(name, { untilMs: clock.nowMs() + durationMs, durationMs });
         }
     }
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -20,7 +20,7 @@
 
 /** Result of asking for admission. */
 export type GateDecision =
-    | { readonly kind: "admitted"; readonly waitedMs: number; }
+    | { readonly kind: "admitted"; }
     | { readonly kind: "refused"; readonly reason: GateRefusal; readonly retryAfterMs: number; };
 
 /** Why a gate refuses a request. */
@@ -46,7 +46,6 @@
 interface Waiter {
     readonly request: GateRequest;
     readonly rank: number;
-    readonly sinceMs: number;
     state: "waiting" | "admitted" | "ended";
     decide: (decision: GateDecision) => void;
     /** Ends the wait when no time is left. */
@@ -132,7 +131,6 @@
         const waiter: Waiter = {
             request,
             rank: rankOf(request),
-            sinceMs: this.clock.nowMs(),
             state: "waiting",
             decide: () => undefined,
             timer: undefined,
@@ -145,7 +143,7 @@
         }
         if (this.open < this.limit && this.waiting === 0) {
             this.admit(waiter);
-            return { decision: Promise.resolve({ kind: "admitted", waitedMs: 0 }), end };
+            return { decision: Promise.resolve({ kind: "admitted" }), end };
         }
         const decision = new Promise<GateDecision>(decide => {
             waiter.decide = decide;
@@ -284,7 +282,7 @@
                 continue;
             }
             this.admit(waiter);
-            waiter.decide({ kind: "admitted", waitedMs: nowMs - waiter.sinceMs });
+            waiter.decide({ kind: "admitted" });
         }
     }
 }
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -32,8 +32,10 @@
 }
 
 /** What became of one send. */
-export type Outcome =
-    | { readonly kind: "answered"; readonly response: ExchangeResponse; }
+export type Outcome = { readonly kind: "answered"; readonly response: ExchangeResponse; } | Unanswered;
+
+/** End of a send without a usable answer. */
+export type Unanswered =
     | {
         readonly kind: "not-run";
         readonly reason: NotRunReason;
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -15,7 +15,7 @@
 import type { RetryAllowance } from "../process/retry-allowance.js";
 import type { KnownServer, ServerDirectory } from "../process/server-directory.js";
 import { isServerFailure, isWantOfRoom } from "./outcome.js";
-import type { Outcome, Send, UnknownReason } from "./outcome.js";
+import type { Outcome, Send, Unanswered, UnknownReason } from "./outcome.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
 /** Parts that relays work with. */
@@ -152,18 +152,11 @@
             return parts.peers.send(server, request);
         }
         return parts.server.send({
-            id: request.id,
-            method: request.method,
-            target: request.target,
-            headers: request.headers,
-            body: request.body,
-            routeName: request.route.name,
-            priority: request.priority,
-            isOnwardCall: request.isOnwardCall,
-            giveUpAtMs: request.giveUpAtMs,
-            answerByMs: request.answerByMs,
+            content: request.content,
             service: server.service,
             instance: server.instance,
+            giveUpAtMs: request.giveUpAtMs,
+            answerByMs: request.answerByMs,
         });
     }
 
@@ -172,7 +165,7 @@
             return;
         }
         const pressure = isWantOfRoom(outcome) ? 1 : onwardPressure ?? 0;
-        if (this.request.isOnwardCall) {
+        if (this.request.content.isOnwardCall) {
             this.parts.onwardPressure.record(pressure);
         }
         else if (onwardPressure !== undefined) {
@@ -205,7 +198,7 @@
         return isServerFailure(response) && this.request.route.idempotent && this.mayRepeat();
     }
 
-    private maySendAgain(server: KnownServer, outcome: Exclude<Outcome, { kind: "answered"; }>): boolean {
+    private maySendAgain(server: KnownServer, outcome: Unanswered): boolean {
         if (this.ended !== undefined) {
             return false;
         }
@@ -229,7 +222,7 @@
 
     private noteRepeat(server: KnownServer, cause: string): void {
         this.parts.log.decision("request-sent-again", {
-            request: this.request.id,
+            request: this.request.content.id,
             route: this.request.route.name,
             service: this.service,
             failedAt: server.instance,
--- a/packages/mesh/src/request/request-admission.ts
+++ b/packages/mesh/src/request/request-admission.ts
@@ -85,11 +85,12 @@
      *
      * @throws RequestError when it is refused.
      */
-    async admit({ version, route, organisation }: IdentifiedRequest): Promise<AdmittedRequest> {
+    async admit(identified: IdentifiedRequest): Promise<AdmittedRequest> {
+        const { version, route, organisation } = identified;
         const service = this.parts.split.next(route);
         const isOnwardCall = version.needsKeys && route.isPublic;
         if (!isOnwardCall) {
-            this.shed(service, organisation?.priority ?? route.priority);
+            this.shed(service, priorityOf(identified));
         }
         if (organisation) {
             await this.keepWithinRate(organisation);
@@ -141,3 +142,8 @@
         }
     }
 }
+
+/** Priority of a request; that of its organisation goes before that of its route. */
+export function priorityOf({ organisation, route }: IdentifiedRequest): number {
+    return organisation?.priority ?? route.priority;
+}
--- a/packages/mesh/src/test/peer-link.test.ts
+++ b/packages/mesh/src/test/peer-link.test.ts
@@ -9,16 +9,18 @@
 const state: NodeState = { load: { open: 1, waiting: 2, limit: 3 }, onwardPressure: 0.5, isStopping: false };
 
 const request: ForwardedRequest = {
-    id: "one",
-    method: "POST",
-    target: "/lodge/",
-    headers: ["X-Own", "kept"],
-    body: Buffer.from("body"),
+    content: {
+        id: "one",
+        method: "POST",
+        target: "/lodge/",
+        headers: ["X-Own", "kept"],
+        body: Buffer.from("body"),
+        routeName: "lodge",
+        priority: 0,
+        isOnwardCall: false,
+    },
     service: "accessions",
     instance: "i-1",
-    routeName: "lodge",
-    priority: 0,
-    isOnwardCall: false,
     remainingMs: 1_000,
     answerInMs: 500,
 };
@@ -56,7 +58,8 @@
     });
     const link = openLink(port);
     const result = await link.forward(request, true).result;
-    assert.deepEqual({ ...seen, body: seen?.body?.toString() }, { ...request, body: "body" });
+    const seenContent = { ...seen?.content, body: seen?.content.body?.toString() };
+    assert.deepEqual({ ...seen, content: seenContent }, { ...request, content: { ...request.content, body: "body" } });
     assert.ok(result.kind === "answered" && result.answer.outcome.kind === "answered");
     assert.equal(result.answer.outcome.body.toString(), "ok");
     assert.deepEqual(result.answer.state, state);
