Use one delay, one half-life, one key hash and one list of unreachable nodes

Cause: the change had written again what stood elsewhere: a timer as a promise (seven places in daemon, mesh and platform), the half-life formula (six places), the hash of a key (core's hashAccessKey beside mesh's hashKey), nodes that did not answer (report, audit, use) and the settings of a node (test fleet and bench control). Change: delay, remainingPart and hashAccessKey of core, findUnreachable of the command line and createNodeSettings are called instead; the hash is made in one call for both. Ruled out: core's TokenBucket in OrganisationQuota, which keeps lent tokens above the burst and lowers its rate over a time; core's ServiceTimes in ServerGate, whose estimates do not fade (to be weighed with a measurement); the delay of a node that stops, which has to keep the process alive, as the clock's timers do not. No behaviour changes.

--- a/packages/cli/src/command/audit-command.ts
+++ b/packages/cli/src/command/audit-command.ts
@@ -4,7 +4,8 @@
 import { auditEntrySchema } from "@radishrouter/core";
 import type { AuditEntry } from "@radishrouter/core";
 import { z } from "zod";
-import { askNodes } from "../node/node-client.js";
+import { askNodes, findUnreachable } from "../node/node-client.js";
+import type { UnreachableNode } from "../node/node-client.js";
 import { formatTable } from "../output/text-table.js";
 import type { TableStyle } from "../output/text-table.js";
 
@@ -19,7 +20,7 @@
 /** Changes of all nodes that answered. */
 export interface FleetAudit {
     readonly entries: readonly NodeAuditEntry[];
-    readonly unreachable: readonly { readonly url: string; readonly reason: string; }[];
+    readonly unreachable: readonly UnreachableNode[];
 }
 
 /** Asks nodes for their changes, the oldest first; only those of one kind if it is named. */
@@ -31,9 +32,7 @@
     return {
         entries: entries.filter(entry => change === undefined || entry.change === change)
             .sort((left, right) => left.time < right.time ? -1 : left.time > right.time ? 1 : 0),
-        unreachable: answers.flatMap(answer =>
-            answer.kind === "unreachable" ? [{ url: answer.url, reason: answer.reason }] : []
-        ),
+        unreachable: findUnreachable(answers),
     };
 }
 
--- a/packages/cli/src/command/use-command.ts
+++ b/packages/cli/src/command/use-command.ts
@@ -3,22 +3,17 @@
  */
 import { NODE_USE_PATH, nodeUseSchema } from "@radishrouter/core";
 import type { NodeUse, OrganisationUse } from "@radishrouter/core";
-import { askNodes } from "../node/node-client.js";
+import { askNodes, findUnreachable } from "../node/node-client.js";
+import type { UnreachableNode } from "../node/node-client.js";
 import { formatTable } from "../output/text-table.js";
 import type { TableStyle } from "../output/text-table.js";
 
-/** A node that did not answer. */
-export interface MissingNode {
-    readonly url: string;
-    readonly reason: string;
-}
-
 /** Counts over all nodes that answered. */
 export interface FleetUse {
     /** Start of the youngest process: what was counted before on its host is not in the sums. */
     readonly youngestStart: string | undefined;
     readonly organisations: readonly OrganisationUse[];
-    readonly missing: readonly MissingNode[];
+    readonly missing: readonly UnreachableNode[];
 }
 
 const PERCENT = 100;
@@ -27,13 +22,10 @@
 export async function collectUse(urls: readonly string[]): Promise<FleetUse> {
     const answers = await askNodes(urls, NODE_USE_PATH, nodeUseSchema);
     const uses = answers.flatMap(answer => answer.kind === "answered" ? [answer.value] : []);
-    const missing = answers.flatMap(answer =>
-        answer.kind === "unreachable" ? [{ url: answer.url, reason: answer.reason }] : []
-    );
     return {
         youngestStart: uses.map(({ startedAt }) => startedAt).sort().at(-1),
         organisations: addUses(uses),
-        missing,
+        missing: findUnreachable(answers),
     };
 }
 
--- a/packages/cli/src/node/node-client.ts
+++ b/packages/cli/src/node/node-client.ts
@@ -15,6 +15,12 @@
     | { readonly kind: "answered"; readonly url: string; readonly value: Value; }
     | { readonly kind: "unreachable"; readonly url: string; readonly reason: string; };
 
+/** A node that did not answer. */
+export interface UnreachableNode {
+    readonly url: string;
+    readonly reason: string;
+}
+
 const hostsSchema = z.array(z.url({ protocol: /^https?$/ }));
 
 /**
@@ -72,6 +78,11 @@
     return answers;
 }
 
+/** Nodes that did not answer, and why. */
+export function findUnreachable(answers: readonly NodeAnswer<unknown>[]): UnreachableNode[] {
+    return answers.flatMap(answer => answer.kind === "unreachable" ? [{ url: answer.url, reason: answer.reason }] : []);
+}
+
 function describeError(error: unknown): string {
     if (error instanceof z.ZodError) {
         return "it answered in an unknown form";
--- a/packages/cli/src/report/fleet-report.ts
+++ b/packages/cli/src/report/fleet-report.ts
@@ -4,7 +4,8 @@
 import { configurationSchema, nodeReportSchema } from "@radishrouter/core";
 import type { Configuration, NodeReport, OrganisationOutcomes } from "@radishrouter/core";
 import { z } from "zod";
-import { askNodes } from "../node/node-client.js";
+import { askNodes, findUnreachable } from "../node/node-client.js";
+import type { UnreachableNode } from "../node/node-client.js";
 import { divideFairly } from "./fair-share.js";
 import { addOutcomes, createOutcomes, subtractOutcomes, sumCounters } from "./outcome-sums.js";
 
@@ -19,12 +20,6 @@
     readonly fairShare?: number;
 }
 
-/** A node that did not answer; its requests are missing from the counters. */
-export interface UnreachableNode {
-    readonly url: string;
-    readonly reason: string;
-}
-
 /** A node that started after the earlier report; what it counted between the two before that is lost. */
 export interface RestartedNode {
     readonly host: string;
@@ -51,6 +46,7 @@
     readonly organisations: readonly OrganisationReport[];
     /** Organisation with a rate that received the least of its fair share. */
     readonly worstServed: string | undefined;
+    /** Nodes that did not answer; their requests are missing from the counters. */
     readonly unreachable: readonly UnreachableNode[];
     readonly restarted: readonly RestartedNode[];
     /** Counters since each process started; a later report can be made from here on. */
@@ -67,16 +63,12 @@
         askNodes(urls, "/configuration", configurationSchema),
     ]);
     const nodes = reports.flatMap(answer => answer.kind === "answered" ? [{ ...answer.value, url: answer.url }] : []);
-    const unreachable = reports.flatMap(answer => answer.kind === "unreachable" ? [toUnreachable(answer)] : []);
+    const unreachable = findUnreachable(reports);
     const documents = configurations.flatMap(answer => answer.kind === "answered" ? [answer.value] : []);
     const newest = documents.sort((left, right) => right.version - left.version)[0];
     return createReport(nodes, { unreachable, configuration: newest, earlier });
 }
 
-function toUnreachable(answer: UnreachableNode): UnreachableNode {
-    return { url: answer.url, reason: answer.reason };
-}
-
 /** What a report is made of besides the counters. */
 export interface ReportSources {
     readonly unreachable: readonly UnreachableNode[];
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./process/entry-admission.js";
 export * from "./process/failure-detector.js";
 export * from "./process/fair-queue.js";
+export * from "./process/half-life.js";
 export * from "./process/host-belief.js";
 export * from "./process/idempotency-table.js";
 export * from "./process/load-balancer.js";
--- a/packages/core/src/process/clock.ts
+++ b/packages/core/src/process/clock.ts
@@ -109,3 +109,10 @@
         },
     };
 }
+
+/** Resolves after `durationMs`; on the clock of the process this does not keep the process alive. */
+export function delay(clock: Clock, durationMs: number): Promise<void> {
+    return new Promise(resolve => {
+        clock.setTimer(durationMs, resolve);
+    });
+}
--- a/packages/core/src/process/observed-host.ts
+++ b/packages/core/src/process/observed-host.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "./clock.js";
 import type { LocalLoad } from "./concurrency-limiter.js";
+import { remainingPart } from "./half-life.js";
 import type { OpenSend, SendOutcome } from "./load-balancer.js";
 
 const LATENCY_WEIGHT = 0.2;
@@ -126,7 +127,7 @@
 
     /** Latency as far as it still says something about the next request. */
     private currentLatencyMs(nowMs: number): number {
-        return this.latencyMs * 0.5 ** ((nowMs - this.lastAnswerMs) / LATENCY_HALF_LIFE_MS);
+        return this.latencyMs * remainingPart(nowMs - this.lastAnswerMs, LATENCY_HALF_LIFE_MS);
     }
 
     /** Own requests in flight, and what the host told of those of others while that is new. */
--- a/packages/core/src/version/access-key.ts
+++ b/packages/core/src/version/access-key.ts
@@ -1,7 +1,7 @@
 /**
  * Keys of callers: making, hashing and looking them up.
  */
-import { createHash, randomBytes, timingSafeEqual } from "node:crypto";
+import { createHash, hash, randomBytes, timingSafeEqual } from "node:crypto";
 import type { Configuration, KeyRecord } from "./configuration.js";
 
 const keyPattern = /^rr_([A-Za-z0-9]{8,32})_([A-Za-z0-9_-]{16,128})$/;
@@ -10,7 +10,7 @@
 
 /** SHA-256 of a whole key, in hexadecimal. */
 export function hashAccessKey(key: string): string {
-    return createHash("sha256").update(key).digest("hex");
+    return hash("sha256", key);
 }
 
 /** Makes a key for a caller and the record that operators publish for it. */
--- a/packages/daemon/src/connection/control-outbox.ts
+++ b/packages/daemon/src/connection/control-outbox.ts
@@ -2,6 +2,7 @@
  * What waits to be sent on one control stream.
  */
 import type { Clock } from "@radishrouter/core";
+import { delay } from "@radishrouter/core";
 import type { ControlMessage } from "@radishrouter/protocol";
 
 const TICK_MS = 50;
@@ -71,7 +72,7 @@
             if (this.messages.length === 0) {
                 await new Promise<void>(resolve => (this.wake = resolve));
             }
-            await new Promise<void>(resolve => this.clock.setTimer(TICK_MS, resolve));
+            await delay(this.clock, TICK_MS);
             const batch = this.messages;
             this.messages = [];
             if (batch.length > 0 && !this.closed) {
--- a/packages/daemon/src/process/crash-watch.ts
+++ b/packages/daemon/src/process/crash-watch.ts
@@ -2,7 +2,7 @@
  * Finds out which requests were in flight when the backend server died, and keeps those that crash it from running.
  */
 import type { Clock, ControlTransport, Host, Quarantine } from "@radishrouter/core";
-import { RequestError } from "@radishrouter/core";
+import { delay, RequestError } from "@radishrouter/core";
 import { createHash } from "node:crypto";
 import { connect } from "node:net";
 import type { RequestBody } from "../request/request-body.js";
@@ -122,7 +122,7 @@
         const crashId = `${this.parts.ownName}/${this.parts.incarnation}/${++this.crashes}`;
         this.parts.quarantine.recordCrash(crashId, fingerprints);
         this.share(crashId, fingerprints, false);
-        await new Promise<void>(resolve => this.parts.clock.setTimer(NOTICE_MS, resolve));
+        await delay(this.parts.clock, NOTICE_MS);
     }
 
     private probe(): Promise<boolean> {
--- a/packages/daemon/src/process/keyed-dispatcher.ts
+++ b/packages/daemon/src/process/keyed-dispatcher.ts
@@ -14,7 +14,7 @@
     SeatDirectory,
     SeatLayouts,
 } from "@radishrouter/core";
-import { createIssuedKey, isIdempotencyKey, RequestError } from "@radishrouter/core";
+import { createIssuedKey, delay, isIdempotencyKey, RequestError } from "@radishrouter/core";
 import { createHash } from "node:crypto";
 import { Readable } from "node:stream";
 import { IDEMPOTENCY_KEY_HEADER, REPLAYED_HEADER } from "../request/header-names.js";
@@ -190,7 +190,7 @@
         const { clock, authority } = this.parts;
         const endMs = Math.min(context.deadlineMs, clock.nowMs() + ASKING_LIMIT_MS);
         while (authority.state.kind === "asking" && clock.nowMs() < endMs) {
-            await new Promise<void>(resolve => clock.setTimer(ASKING_POLL_MS, resolve));
+            await delay(clock, ASKING_POLL_MS);
         }
     }
 
--- a/packages/daemon/src/process/platform-reader.ts
+++ b/packages/daemon/src/process/platform-reader.ts
@@ -2,6 +2,7 @@
  * Reads and watches values of the platform.
  */
 import type { Clock } from "@radishrouter/core";
+import { delay } from "@radishrouter/core";
 import { Pool } from "undici";
 import { z } from "zod";
 
@@ -78,7 +79,7 @@
                 if (error instanceof CorruptValueError) {
                     handlers.onCorrupt?.(error.message);
                 }
-                await this.delay(this.retryDelayMs(failures++));
+                await delay(this.clock, this.retryDelayMs(failures++));
             }
         }
     }
@@ -119,10 +120,4 @@
         const delayMs = Math.min(FIRST_RETRY_DELAY_MS * 2 ** failures, MAXIMUM_RETRY_DELAY_MS);
         return delayMs * (0.5 + this.random() / 2);
     }
-
-    private delay(delayMs: number): Promise<void> {
-        return new Promise(resolve => {
-            this.clock.setTimer(delayMs, resolve);
-        });
-    }
 }
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -2,6 +2,7 @@
  * Sends requests to the nodes beside other backend servers.
  */
 import type { Clock } from "@radishrouter/core";
+import { delay } from "@radishrouter/core";
 import type { PeerHealth, PeerTrouble } from "../process/peer-health.js";
 import type { KnownServer } from "../process/server-directory.js";
 import type { Outcome, Send, SendResult, UnknownReason } from "../request/outcome.js";
@@ -54,7 +55,7 @@
     async askForTokens(address: string, organisation: string, wanted: number): Promise<number> {
         const answer = this.linkTo(address).askForTokens(organisation, wanted);
         // Tokens that come too late are lost.
-        const tooLate = this.delay(TOKENS_TIMEOUT_MS).then(() => 0);
+        const tooLate = delay(this.parts.clock, TOKENS_TIMEOUT_MS).then(() => 0);
         return await Promise.race([answer, tooLate]);
     }
 
@@ -116,7 +117,7 @@
         }
         this.probing.add(address);
         while (!this.isClosed && this.parts.health.troubleOf(address) !== undefined && !await this.isAlive(address)) {
-            await this.delay(PROBE_INTERVAL_MS);
+            await delay(this.parts.clock, PROBE_INTERVAL_MS);
         }
         this.probing.delete(address);
         this.parts.health.clear(address);
@@ -136,10 +137,6 @@
             link.ping();
         });
     }
-
-    private delay(durationMs: number): Promise<void> {
-        return new Promise(resolve => this.parts.clock.setTimer(durationMs, resolve));
-    }
 }
 
 function readResult(
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -343,6 +343,7 @@
         });
     }
 
+    /** Unlike a timer of the clock, this keeps the process alive until it has stopped in order. */
     private delay(durationMs: number): Promise<void> {
         return new Promise(resolve => setTimeout(resolve, durationMs));
     }
--- a/packages/mesh/src/process/onward-pressure.ts
+++ b/packages/mesh/src/process/onward-pressure.ts
@@ -5,6 +5,7 @@
  * told, so that the pressure of the deepest service comes up the chain call by call.
  */
 import type { Clock } from "@radishrouter/core";
+import { remainingPart } from "@radishrouter/core";
 
 const HALF_LIFE_MS = 400;
 /** Calls that count as served before any is known. */
@@ -38,12 +39,12 @@
     current(): number {
         this.decay();
         const sinceLastMs = this.atMs - this.recordedAtMs;
-        return this.refused / (this.calls + PRIOR_CALLS) * 0.5 ** (sinceLastMs / HALF_LIFE_MS);
+        return this.refused / (this.calls + PRIOR_CALLS) * remainingPart(sinceLastMs, HALF_LIFE_MS);
     }
 
     private decay(): void {
         const nowMs = this.clock.nowMs();
-        const remaining = 0.5 ** ((nowMs - this.atMs) / HALF_LIFE_MS);
+        const remaining = remainingPart(nowMs - this.atMs, HALF_LIFE_MS);
         this.calls *= remaining;
         this.refused *= remaining;
         this.atMs = nowMs;
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -7,7 +7,7 @@
  * that does; a token that is lost on the way is lost capacity, never extra capacity.
  */
 import type { Clock } from "@radishrouter/core";
-import { highestScores } from "@radishrouter/core";
+import { highestScores, remainingPart } from "@radishrouter/core";
 import type { Organisation } from "../version/mesh-configuration.js";
 import { PhasedLimit } from "./phased-limit.js";
 
@@ -218,7 +218,7 @@
 
     private decayDemand(bucket: Bucket): void {
         const nowMs = this.clock.nowMs();
-        bucket.demandPerSecond *= 0.5 ** ((nowMs - bucket.demandAtMs) / DEMAND_HALF_LIFE_MS);
+        bucket.demandPerSecond *= remainingPart(nowMs - bucket.demandAtMs, DEMAND_HALF_LIFE_MS);
         bucket.demandAtMs = nowMs;
     }
 }
--- a/packages/mesh/src/process/placement.ts
+++ b/packages/mesh/src/process/placement.ts
@@ -6,6 +6,7 @@
  * which count at once so that not all requests go to the server that looked empty last.
  */
 import type { Clock } from "@radishrouter/core";
+import { remainingPart } from "@radishrouter/core";
 import type { KnownServer } from "./server-directory.js";
 import type { GateLoad } from "./server-gate.js";
 
@@ -142,7 +143,7 @@
     }
 
     private weightOfReport(observation: Observation): number {
-        return 0.5 ** ((this.clock.nowMs() - observation.reportedAtMs) / REPORT_HALF_LIFE_MS);
+        return remainingPart(this.clock.nowMs() - observation.reportedAtMs, REPORT_HALF_LIFE_MS);
     }
 
     private cost(server: KnownServer, origin: PlacementOrigin): number {
--- a/packages/mesh/src/test/request-admission.test.ts
+++ b/packages/mesh/src/test/request-admission.test.ts
@@ -1,10 +1,9 @@
-import { ManualClock, RequestError } from "@radishrouter/core";
+import { hashAccessKey, ManualClock, RequestError } from "@radishrouter/core";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
     ChainThrottle,
     ConfigurationLease,
-    hashKey,
     MeshVersion,
     OrganisationQuota,
     ProcessorGuard,
@@ -18,7 +17,7 @@
 const HOST = "catalogue.example";
 const ADDRESS = "10.0.0.1";
 const LEASE_MS = 5_000;
-const archive = createOrganisation({ keyHashes: [hashKey("first-key")], ratePerSecond: 1, burst: 1 });
+const archive = createOrganisation({ keyHashes: [hashAccessKey("first-key")], ratePerSecond: 1, burst: 1 });
 
 /** An admission on a host of its own, with a version in force unless it is left out. */
 function createAdmission(configuration: MeshConfiguration | undefined) {
--- a/packages/mesh/src/test/version.test.ts
+++ b/packages/mesh/src/test/version.test.ts
@@ -1,7 +1,7 @@
-import { ManualClock } from "@radishrouter/core";
+import { hashAccessKey, ManualClock } from "@radishrouter/core";
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ConfigurationLease, hashKey, MeshVersion, RouteTable, WeightedSplit } from "../index.js";
+import { ConfigurationLease, MeshVersion, RouteTable, WeightedSplit } from "../index.js";
 import { createConfiguration, createOrganisation, createRoute } from "./example-values.js";
 
 const REVOKE_MS = 5_000;
@@ -44,7 +44,7 @@
 });
 
 test("a key stands for its organisation only in versions that hold it", () => {
-    const organisation = createOrganisation({ keyHashes: [hashKey("secret")] });
+    const organisation = createOrganisation({ keyHashes: [hashAccessKey("secret")] });
     const holding = MeshVersion.create(createConfiguration({ organisations: [organisation] }));
     const withdrawn = MeshVersion.create(createConfiguration({ version: 2, organisations: [createOrganisation()] }));
     assert.equal(holding.organisationOfKey("secret")?.name, "archive");
--- a/packages/mesh/src/version/mesh-version.ts
+++ b/packages/mesh/src/version/mesh-version.ts
@@ -1,15 +1,10 @@
 /**
  * One configuration version with the indexes that requests are decided by.
  */
-import { hash } from "node:crypto";
+import { hashAccessKey } from "@radishrouter/core";
 import type { MeshConfiguration, Organisation } from "./mesh-configuration.js";
 import { RouteTable } from "./route-table.js";
 
-/** SHA-256 of a caller's key, in hexadecimal. */
-export function hashKey(key: string): string {
-    return hash("sha256", key);
-}
-
 /** Configuration version in force, indexed. */
 export class MeshVersion {
     readonly routes: RouteTable;
@@ -36,6 +31,6 @@
 
     /** Organisation that a key belongs to in this version. */
     organisationOfKey(key: string): Organisation | undefined {
-        return this.organisationsByKey.get(hashKey(key));
+        return this.organisationsByKey.get(hashAccessKey(key));
     }
 }
--- a/packages/testbed/src/bench/control.ts
+++ b/packages/testbed/src/bench/control.ts
@@ -8,6 +8,7 @@
 import { FleetAddresses, ports } from "../fleet/addresses.js";
 import { Child } from "../fleet/child.js";
 import { createExampleConfiguration } from "../fleet/example-configuration.js";
+import { createNodeSettings } from "../fleet/node-settings.js";
 import { waitFor } from "../fleet/wait-for.js";
 import { controlSampleSchema } from "./control-sample.js";
 import type { ControlSample } from "./control-sample.js";
@@ -50,25 +51,12 @@
 
 function createSettings(addresses: FleetAddresses, index: number): unknown {
     const { name, address, failureDomain, region, service } = createHost(addresses, index);
-    return {
-        host: name,
-        address,
-        loopbackAddress: address,
-        failureDomain,
-        region,
-        service,
-        seat: Math.floor(index / FAILURE_DOMAINS.length),
-        ports: {
-            callers: ports.callers,
-            forward: ports.forward,
-            control: ports.control,
-            backend: ports.backend,
-            operators: ports.operators,
-        },
-        backendServer: { address, port: ports.backendServer },
-        platform: { url: `http://${addresses.platform}:${ports.platform}` },
-        deploymentSecret: "secret-of-the-bench-deployment",
-    };
+    const seat = Math.floor(index / FAILURE_DOMAINS.length);
+    return createNodeSettings({}, { name, failureDomain, region, service, seat }, {
+        host: address,
+        platform: addresses.platform,
+        backendServer: address,
+    });
 }
 
 async function publish(addresses: FleetAddresses, key: string, value: unknown): Promise<void> {
--- a/packages/testbed/src/fleet/node-settings.ts
+++ b/packages/testbed/src/fleet/node-settings.ts
@@ -15,7 +15,7 @@
 
 /** Settings document of a node. */
 export function createNodeSettings(
-    options: FleetOptions,
+    options: Pick<FleetOptions, "policy" | "settings" | "rateLimiter">,
     specification: HostSpecification,
     addresses: NodeAddresses,
 ): Record<string, unknown> {
