Index the list of backend servers once for many changes

Cause: each entry that a node adopts made the whole index anew, with a sort of all hosts, so that reading a list took a time that grows with its square; a node reads the whole list at start and whenever the store has lost its history. Change: a change drops the index, and the next look-up makes it.

--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -37,6 +37,13 @@
     readonly cause: string;
 }
 
+/** What is looked up for each request. */
+interface DirectoryIndex {
+    /** Servers that may get new work. */
+    readonly byService: ReadonlyMap<string, readonly KnownServer[]>;
+    readonly hosts: readonly string[];
+}
+
 /** Time for which entries that lapsed during an outage of the platform may come back. */
 const RETURN_OF_LAPSED_MS = 2_500;
 
@@ -45,8 +52,8 @@
     /** Emits `changed` for each change of a server. */
     readonly events: Emittery<{ changed: DirectoryChange; }> = new Emittery();
     private readonly servers = new Map<string, KnownServer>();
-    private byService = new Map<string, KnownServer[]>();
-    private hostAddresses: readonly string[] = [];
+    /** Made when it is next read after a change, as many entries may change at once. */
+    private index: DirectoryIndex | undefined;
     private isLoaded = false;
 
     private constructor(private readonly clock: Clock) {}
@@ -62,12 +69,12 @@
 
     /** Addresses of the hosts with a listed backend server, also those that are leaving. */
     get hosts(): readonly string[] {
-        return this.hostAddresses;
+        return this.currentIndex().hosts;
     }
 
     /** All servers of a service that may get new work. */
     usable(service: string): readonly KnownServer[] {
-        return this.byService.get(service) ?? [];
+        return this.currentIndex().byService.get(service) ?? [];
     }
 
     /** All listed servers. */
@@ -100,7 +107,7 @@
             missingSinceMs: undefined,
         };
         this.servers.set(server.instance, known);
-        this.index();
+        this.index = undefined;
         const change = changeBetween(before, server);
         if (change) {
             void this.events.emit("changed", { kind: change, server, cause });
@@ -121,7 +128,7 @@
             return;
         }
         this.servers.set(instance, { ...server, missingSinceMs: this.clock.nowMs() });
-        this.index();
+        this.index = undefined;
         void this.events.emit("changed", { kind: "missing", server, cause });
         this.clock.setTimer(RETURN_OF_LAPSED_MS, () => this.dropIfStillMissing(instance));
     }
@@ -147,24 +154,28 @@
 
     private drop(server: KnownServer, cause: string): void {
         this.servers.delete(server.instance);
-        this.index();
+        this.index = undefined;
         void this.events.emit("changed", { kind: "left", server, cause });
     }
 
-    private index(): void {
-        const byService = new Map<string, KnownServer[]>();
-        const hosts = new Set<string>();
-        for (const server of this.servers.values()) {
-            hosts.add(server.hostAddress);
-            if (server.state === "ready") {
-                const list = byService.get(server.service) ?? [];
-                list.push(server);
-                byService.set(server.service, list);
-            }
+    private currentIndex(): DirectoryIndex {
+        this.index ??= createIndex(this.servers.values());
+        return this.index;
+    }
+}
+
+function createIndex(servers: Iterable<KnownServer>): DirectoryIndex {
+    const byService = new Map<string, KnownServer[]>();
+    const hosts = new Set<string>();
+    for (const server of servers) {
+        hosts.add(server.hostAddress);
+        if (server.state === "ready") {
+            const list = byService.get(server.service) ?? [];
+            list.push(server);
+            byService.set(server.service, list);
         }
-        this.byService = byService;
-        this.hostAddresses = [...hosts].sort();
     }
+    return { byService, hosts: [...hosts].sort() };
 }
 
 function startsAfter(server: KnownServer, other: KnownServer | undefined): boolean {
