--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -172,11 +172,11 @@
         await this.listeners.open(this.callerServer, settings.callers);
     }
 
-    /** Activates a configuration if it is newer than the active one. */
-    applyConfiguration(configuration: MeshConfiguration, cause: string): void {
+    /** Activates a configuration if it is newer than the active one; returns whether it is. */
+    applyConfiguration(configuration: MeshConfiguration, cause: string): boolean {
         const before = this.version?.configuration.version;
         if (before !== undefined && configuration.version <= before) {
-            return;
+            return false;
         }
         this.version = IndexedConfiguration.create(configuration);
         this.quota.setOrganisations(configuration.organisations ?? []);
@@ -185,6 +185,7 @@
             applyIdleTimeout(this.callerServer, configuration.limits.idleTimeoutMs);
         }
         this.log.event("configuration-in-force", { version: configuration.version, before, cause });
+        return true;
     }
 
     /**
