Learn published state from other nodes; one host of the fleet reads the platform

Until now each node watched the platform itself: calls grow with the hosts.

A node asks its parent (wait 0.5 s, given up after 0.8 s) and hands on what it knows, with the age of the proof that it is current, counted from when the platform was asked. A node whose parent gives no answer, or whose parent's proof is older than 2.4 s, reads the platform once at once and goes on with the next ancestor; one whose questions to the platform fail asks other hosts.

A copy older than what is in force renews no lease, a node that starts asks other nodes which version was in force before keys count, and an entry from an older copy does not bring back a server that is draining or has left.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -5,6 +5,7 @@
 import type { ServerLoad } from "../process/server-gate.js";
 import type { FailedOutcome } from "../request/outcome.js";
 import type { RequestContent } from "../request/relayed-request.js";
+import type { StatePosition, StateUpdate } from "../version/published-state.js";
 
 /** A request that is forwarded to the node on a backend server's host. */
 export interface ForwardedRequest {
@@ -39,7 +40,23 @@
     readonly clockMs: number;
 }
 
-/** One message. The sender of a request or of a token request chooses its `number`; replies repeat it. */
+/** What a node knows of the published state, for a node that follows it. */
+export interface StateReport {
+    /** Position of this node; undefined if it has no state yet. */
+    readonly position: StatePosition | undefined;
+    /** Update from the position of the node that asked; undefined if there is nothing newer. */
+    readonly update: StateUpdate | undefined;
+    /** Time since the platform was asked for the state at `position` or a later one; infinite if it never was. */
+    readonly proofAgeMs: number;
+    /** Time from receiving the question until this reply. */
+    readonly heldMs: number;
+    /** Whether the platform has answered without failures for a while, so that missing entries have really left. */
+    readonly isPlatformStable: boolean;
+    /** Highest configuration version that is known to have been in force; undefined if none is. */
+    readonly configurationVersion: number | undefined;
+}
+
+/** One message. The sender of a request or of a question chooses its `number`; replies repeat it. */
 export type LinkMessage =
     | {
         readonly kind: "request";
@@ -57,5 +74,14 @@
     }
     | { readonly kind: "ask-tokens"; readonly number: number; readonly organisation: string; readonly wanted: number; }
     | { readonly kind: "tokens"; readonly number: number; readonly granted: number; }
+    | {
+        readonly kind: "ask-state";
+        readonly number: number;
+        /** Position up to which the sender knows the state; undefined if it knows none. */
+        readonly position: StatePosition | undefined;
+        /** Time for which the receiver may wait for something newer. */
+        readonly waitMs: number;
+    }
+    | { readonly kind: "published-state"; readonly number: number; readonly report: StateReport; }
     | { readonly kind: "ping"; }
     | { readonly kind: "state"; readonly state: NodeState; };
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -1,5 +1,5 @@
 /**
- * Sends requests and token requests to other nodes (peers).
+ * Sends requests and questions to other nodes (peers).
  */
 import type { Clock } from "@radishrouter/core";
 import { delay } from "@radishrouter/core";
@@ -7,8 +7,9 @@
 import type { KnownServer } from "../process/server-directory.js";
 import type { Attempt, AttemptOutcome, AttemptResult, UnknownReason } from "../request/outcome.js";
 import type { RelayedRequest } from "../request/relayed-request.js";
+import type { StatePosition } from "../version/published-state.js";
 import { HeaderList } from "./http-exchange.js";
-import type { ForwardedOutcome, ForwardedRequest, NodeState } from "./link-message.js";
+import type { ForwardedOutcome, ForwardedRequest, NodeState, StateReport } from "./link-message.js";
 import { PeerLink } from "./peer-link.js";
 import type { ForwardResponse, LinkResult } from "./peer-link.js";
 
@@ -25,6 +26,8 @@
 const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 600;
 const TOKENS_TIMEOUT_MS = 60;
+/** Time for an answer about the published state, in addition to the time for which the peer may wait. */
+const STATE_TIMEOUT_MS = 300;
 
 /** Links to peers; probes peers that failed until they respond again. */
 export class PeerClient {
@@ -59,6 +62,22 @@
         return await Promise.race([granted, timeout]);
     }
 
+    /**
+     * Asks the node at an address for published state after a position; it may wait `waitMs` for something newer.
+     * Resolves with undefined when it gives no answer.
+     */
+    async askState(
+        address: string,
+        position: StatePosition | undefined,
+        waitMs: number,
+    ): Promise<StateReport | undefined> {
+        const question = this.getLink(address).askState(position, waitMs);
+        const timer = this.dependencies.clock.setTimer(waitMs + STATE_TIMEOUT_MS, () => question.abandon());
+        const report = await question.answer;
+        timer.cancel();
+        return report;
+    }
+
     /** Closes all links. */
     close(): void {
         this.isClosed = true;
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -1,5 +1,6 @@
 /**
- * The connection from this node to one peer, with its pending calls: forwarded requests and token requests.
+ * The connection from this node to one peer, with its pending calls: forwarded requests, token requests and questions for the
+ * published state.
  *
  * A link is open once the peer's process has replied on it, and calls are sent only on an open link. The peer's host
  * may accept a connection long before the peer's process reads it, and a call that was not sent has certainly not run.
@@ -7,7 +8,8 @@
 import type { Clock, Timer } from "@radishrouter/core";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
-import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
+import type { StatePosition } from "../version/published-state.js";
+import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState, StateReport } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import { PeerClock } from "./peer-clock.js";
 
@@ -40,14 +42,24 @@
     cancel(): void;
 }
 
+/** A question that waits for its answer. */
+export interface PendingQuestion {
+    /** Undefined if there is none. */
+    readonly answer: Promise<StateReport | undefined>;
+    /** Stops waiting; the answer is undefined then. */
+    abandon(): void;
+}
+
 /** A message that expects a reply. */
-type CallMessage = Extract<LinkMessage, { kind: "request" | "ask-tokens"; }>;
+type CallMessage = Extract<LinkMessage, { kind: "request" | "ask-tokens" | "ask-state"; }>;
 
 /** A call whose reply is pending. */
 interface PendingCall {
     readonly startedAtMs: number;
     /** Whether the call may be abandoned when the peer stops responding. */
     readonly mayAbandon: boolean;
+    /** Whether the peer is pinged while the call is pending, to notice soon that it stopped responding. */
+    readonly isPinged: boolean;
     readonly settle: (result: LinkResult<never>) => void;
     readonly answer: (message: LinkMessage) => void;
 }
@@ -116,6 +128,18 @@
         return result.kind === "answered" ? result.answer : 0;
     }
 
+    /** Asks for published state after a position; the peer may wait `waitMs` for it. */
+    askState(position: StatePosition | undefined, waitMs: number): PendingQuestion {
+        const number = ++this.lastNumber;
+        const result = this.call<StateReport>(
+            { kind: "ask-state", number, position, waitMs },
+            true,
+            message => message.kind === "published-state" ? message.report : undefined,
+        );
+        const answer = result.then(outcome => outcome.kind === "answered" ? outcome.answer : undefined);
+        return { answer, abandon: () => this.abandonCall(number) };
+    }
+
     /** Closes the link; its pending calls are lost. */
     destroy(): void {
         this.messages.destroy();
@@ -133,6 +157,7 @@
             this.pendingCalls.set(message.number, {
                 startedAtMs: this.options.clock.nowMs(),
                 mayAbandon,
+                isPinged: message.kind !== "ask-state",
                 settle: resolve,
                 answer: reply => {
                     const answer = readReply(reply);
@@ -173,6 +198,13 @@
         this.closeIfUnresponsiveAndIdle();
     }
 
+    /** Stops waiting for a question, which need not be cancelled at the peer. */
+    private abandonCall(number: number): void {
+        this.queuedCalls = this.queuedCalls.filter(message => message.number !== number);
+        this.removeCall(number)?.settle({ kind: "lost", sent: true, isUnresponsive: false });
+        this.closeIfUnresponsiveAndIdle();
+    }
+
     /**
      * Closes the link if the peer does not reply in time. Waits longer if this process was delayed, because it may not
      * have read the reply yet.
@@ -211,6 +243,7 @@
                 return;
             }
             case "tokens":
+            case "published-state":
                 this.removeCall(message.number)?.answer(message);
                 return;
             case "state":
@@ -220,6 +253,7 @@
             case "request":
             case "cancel":
             case "ask-tokens":
+            case "ask-state":
             case "ping":
                 this.socket.destroy(new Error("a peer sent a request on a link on which it may only reply"));
                 return;
@@ -242,13 +276,22 @@
 
     /** Pings the peer while calls are pending, until it counts as unresponsive. */
     private startPinging(): void {
-        if (this.pingTimer || this.pendingCalls.size === 0) {
+        if (this.pingTimer || !this.hasPingedCalls()) {
             return;
         }
         this.lastReceivedAtMs = Math.max(this.lastReceivedAtMs, this.options.clock.nowMs());
         this.schedulePing();
     }
 
+    private hasPingedCalls(): boolean {
+        for (const call of this.pendingCalls.values()) {
+            if (call.isPinged) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private schedulePing(): void {
         const dueAtMs = this.options.clock.nowMs() + PING_INTERVAL_MS;
         this.pingTimer = this.options.clock.setTimer(PING_INTERVAL_MS, () => this.onPingTimer(dueAtMs));
@@ -256,7 +299,7 @@
 
     private onPingTimer(dueAtMs: number): void {
         this.pingTimer = undefined;
-        if (this.stage === "silent" || this.stage === "closed" || this.pendingCalls.size === 0) {
+        if (this.stage === "silent" || this.stage === "closed" || !this.hasPingedCalls()) {
             return;
         }
         const nowMs = this.options.clock.nowMs();
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -1,5 +1,6 @@
 /**
- * Handles messages of other nodes: requests for the backend server on this host, and token requests.
+ * Handles messages of other nodes: requests for the backend server on this host, token requests, and questions for the
+ * published state.
  */
 import type { BacklogMonitor, Clock, Timer } from "@radishrouter/core";
 import { createServer } from "node:net";
@@ -13,6 +14,7 @@
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import type { ServerClient } from "./server-client.js";
+import type { StateAnswers } from "./state-answers.js";
 
 /** Collaborators of the server for peers. */
 export interface PeerServerDependencies {
@@ -22,6 +24,7 @@
     readonly gate: ServerGate;
     readonly quota: OrganisationQuota;
     readonly onwardPressure: DownstreamPressure;
+    readonly stateAnswers: StateAnswers;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
 }
@@ -120,11 +123,19 @@
                 this.messages.send({ kind: "tokens", number: message.number, granted });
                 return;
             }
+            case "ask-state": {
+                const { number, position, waitMs } = message;
+                this.dependencies.stateAnswers.answer(position, waitMs, report => {
+                    this.messages.send({ kind: "published-state", number, report });
+                });
+                return;
+            }
             case "ping":
                 this.sendState();
                 return;
             case "outcome":
             case "tokens":
+            case "published-state":
             case "state":
                 this.messages.destroy();
                 return;
--- /dev/null
+++ b/packages/mesh/src/connection/state-answers.ts
@@ -0,0 +1,58 @@
+/**
+ * Answers nodes that follow this one for published state: at once if there is something newer, else after a while.
+ */
+import type { Clock } from "@radishrouter/core";
+import type { ConfigurationLease } from "../version/configuration-lease.js";
+import type { PublishedState, StatePosition } from "../version/published-state.js";
+import type { StateReport } from "./link-message.js";
+
+/** What the answers are made from. */
+export interface StateAnswersDependencies {
+    readonly clock: Clock;
+    readonly state: PublishedState;
+    readonly lease: ConfigurationLease;
+    readonly isPlatformStable: () => boolean;
+    /** Highest configuration version that is known to have been in force. */
+    readonly knownConfigurationVersion: () => number | undefined;
+}
+
+/** Longest time for which an answer waits, whatever the question says. */
+const MAXIMUM_WAIT_MS = 2_000;
+
+/** Answers questions for published state. */
+export class StateAnswers {
+    private constructor(private readonly dependencies: StateAnswersDependencies) {}
+
+    static create(dependencies: StateAnswersDependencies): StateAnswers {
+        return new StateAnswers(dependencies);
+    }
+
+    /** Calls back with the answer, as soon as there is an update after `position`, or else after `waitMs`. */
+    answer(position: StatePosition | undefined, waitMs: number, reply: (report: StateReport) => void): void {
+        const { clock, state } = this.dependencies;
+        const receivedAtMs = clock.nowMs();
+        if (waitMs <= 0 || !state.position || state.updateSince(position)) {
+            reply(this.report(position, receivedAtMs));
+            return;
+        }
+        const end = () => {
+            timer.cancel();
+            stopListening();
+            reply(this.report(position, receivedAtMs));
+        };
+        const timer = clock.setTimer(Math.min(waitMs, MAXIMUM_WAIT_MS), end);
+        const stopListening = state.onceUpdated(end);
+    }
+
+    private report(position: StatePosition | undefined, receivedAtMs: number): StateReport {
+        const { clock, state, lease, isPlatformStable, knownConfigurationVersion } = this.dependencies;
+        return {
+            position: state.position,
+            update: state.updateSince(position),
+            proofAgeMs: lease.ageMs(),
+            heldMs: clock.nowMs() - receivedAtMs,
+            isPlatformStable: isPlatformStable(),
+            configurationVersion: knownConfigurationVersion(),
+        };
+    }
+}
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -10,13 +10,14 @@
 import { PeerClient } from "../connection/peer-client.js";
 import { PeerServer } from "../connection/peer-server.js";
 import { ServerClient } from "../connection/server-client.js";
+import { StateAnswers } from "../connection/state-answers.js";
 import { createMetricsServer, createReadinessServer } from "../connection/status-server.js";
 import { TokenBroker } from "../connection/token-broker.js";
 import type { HeaderNames } from "../request/header-names.js";
 import { RequestAdmission } from "../request/request-admission.js";
 import { ConfigurationLease } from "../version/configuration-lease.js";
 import { IndexedConfiguration } from "../version/indexed-configuration.js";
-import type { MeshConfiguration } from "../version/mesh-configuration.js";
+import { PublishedState } from "../version/published-state.js";
 import { WeightedRoundRobin } from "../version/weighted-round-robin.js";
 import { DownstreamPressure } from "./downstream-pressure.js";
 import { DownstreamThrottle } from "./downstream-throttle.js";
@@ -28,12 +29,17 @@
 import { OrganisationUsageCounters } from "./organisation-usage-counters.js";
 import { PeerHealth } from "./peer-health.js";
 import { ProcessOverloadGuard } from "./process-overload-guard.js";
+import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
+import { planRelay } from "./relay-tree.js";
+import type { FleetHost, RelayPlan } from "./relay-tree.js";
 import { RequestLog } from "./request-log.js";
 import { ServerDirectory } from "./server-directory.js";
 import type { DirectoryChange } from "./server-directory.js";
 import { ServerGate } from "./server-gate.js";
 import { ServiceRetryBudget } from "./service-retry-budget.js";
 import type { RetryBudgetLimits } from "./service-retry-budget.js";
+import { StateFollower } from "./state-follower.js";
+import { UpdateSourceSelector } from "./update-source-selector.js";
 
 /** Settings of a node. */
 export interface MeshNodeSettings {
@@ -91,6 +97,9 @@
     private readonly peers: PeerClient;
     private readonly peerServer: PeerServer;
     private readonly broker: TokenBroker;
+    private readonly state = PublishedState.create();
+    private follower: StateFollower | undefined;
+    private relayPlan: { readonly hosts: readonly FleetHost[]; readonly plan: RelayPlan; } | undefined;
     private version: IndexedConfiguration | undefined;
     private callerServer: Server | undefined;
     private readonly listeners = NodeListeners.create();
@@ -172,8 +181,30 @@
         await this.listeners.open(this.callerServer, settings.callers);
     }
 
+    /** Follows the published state, which it learns from other nodes or from the platform, until the node stops. */
+    async follow(reader: PublishedStateReader, decoder: PublishedItemDecoder): Promise<void> {
+        const { clock, state, lease, directory, log, peers } = this;
+        this.follower = StateFollower.create({
+            clock,
+            reader,
+            decoder,
+            state,
+            lease,
+            directory,
+            log,
+            selector: UpdateSourceSelector.create(clock, {
+                plan: () => this.planRelay(),
+                isReachable: address => this.health.troubleOf(address) === undefined,
+            }),
+            askPeer: (address, position, waitMs) => peers.askState(address, position, waitMs),
+            applyConfiguration: (decoded, cause) => this.applyConfiguration(decoded, cause),
+            activeConfigurationVersion: () => this.configurationVersion,
+        });
+        await this.follower.run();
+    }
+
     /** Activates a configuration if it is newer than the active one; returns whether it is. */
-    applyConfiguration(configuration: MeshConfiguration, cause: string): boolean {
+    private applyConfiguration({ configuration }: DecodedConfiguration, cause: string): boolean {
         const before = this.version?.configuration.version;
         if (before !== undefined && configuration.version <= before) {
             return false;
@@ -204,6 +235,7 @@
         this.peerServer.listener.close();
         this.listeners.close();
         await Promise.race([limit, lifeCycle.whenIdle()]);
+        this.follower?.close();
         this.listeners.closeConnections();
         this.peerServer.closeLinks();
         this.peers.close();
@@ -254,8 +286,35 @@
     }
 
     private createPeerServer(): PeerServer {
-        const { clock, backlog, server, gate, quota, onwardPressure, lifeCycle, log } = this;
-        return PeerServer.create({ clock, backlog, server, gate, quota, onwardPressure, lifeCycle, log });
+        const { clock, backlog, server, gate, quota, onwardPressure, lifeCycle, log, state, lease } = this;
+        const stateAnswers = StateAnswers.create({
+            clock,
+            state,
+            lease,
+            isPlatformStable: () => this.follower?.isPlatformStable() ?? false,
+            knownConfigurationVersion: () => this.follower?.knownConfigurationVersion,
+        });
+        return PeerServer.create({
+            clock,
+            backlog,
+            server,
+            gate,
+            quota,
+            onwardPressure,
+            stateAnswers,
+            lifeCycle,
+            log,
+        });
+    }
+
+    /** Hosts that this node can learn published state from, by the current list of hosts. */
+    private planRelay(): RelayPlan {
+        const hosts = this.directory.fleetHosts;
+        if (this.relayPlan?.hosts !== hosts) {
+            const { hostAddress, failureDomain } = this.settings;
+            this.relayPlan = { hosts, plan: planRelay({ address: hostAddress, failureDomain }, hosts) };
+        }
+        return this.relayPlan.plan;
     }
 
     private callerServerDependencies(): Parameters<typeof createCallerServer>[0] {
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "@radishrouter/core";
 import Emittery from "emittery";
+import type { FleetHost } from "./relay-tree.js";
 
 /** Backend server as listed by the platform. */
 export interface BackendServer {
@@ -20,6 +21,8 @@
     readonly warmUpRemainingMs: number;
     /** Unix time in ms of its start; undefined when the entry does not contain it. */
     readonly startedAtMs: number | undefined;
+    /** Number of the entry's last write by this start of the server; counts up. */
+    readonly sequence: number;
 }
 
 /** Backend server with the state that this node keeps about it. */
@@ -42,10 +45,19 @@
     /** Servers that may receive new requests. */
     readonly byService: ReadonlyMap<string, readonly KnownServer[]>;
     readonly hosts: readonly string[];
+    readonly fleetHosts: readonly FleetHost[];
+}
+
+/** Last entry of a server that has left. */
+interface DepartedServer {
+    readonly startedAtMs: number | undefined;
+    readonly sequence: number;
 }
 
 /** Time in which entries that lapsed during an outage of the platform may come back. */
 const LAPSED_ENTRY_GRACE_MS = 2_500;
+/** Servers that have left and are remembered, the last ones. */
+const MAXIMUM_DEPARTED = 1_024;
 
 /** Backend servers by instance and by service. */
 export class ServerDirectory {
@@ -54,6 +66,7 @@
     private readonly servers = new Map<string, KnownServer>();
     /** Rebuilt on the first lookup after a change, because many entries may change at once. */
     private index: DirectoryIndex | undefined;
+    private readonly departed = new Map<string, DepartedServer>();
     private isLoaded = false;
 
     private constructor(private readonly clock: Clock) {}
@@ -72,6 +85,11 @@
         return this.currentIndex().hosts;
     }
 
+    /** The hosts with their failure domains; the same array until a server changes. */
+    get fleetHosts(): readonly FleetHost[] {
+        return this.currentIndex().fleetHosts;
+    }
+
     /** All servers of a service that may receive new requests. */
     readyServers(service: string): readonly KnownServer[] {
         return this.currentIndex().byService.get(service) ?? [];
@@ -133,16 +151,20 @@
         this.clock.setTimer(LAPSED_ENTRY_GRACE_MS, () => this.dropIfStillMissing(instance));
     }
 
-    /** Applies a complete list; servers that are not in it are removed. */
-    replace(servers: readonly BackendServer[], isPlatformHealthy: boolean, cause: string): void {
+    /** Records that a complete list was read. */
+    markLoaded(): void {
         this.isLoaded = true;
-        const listed = new Set(servers.map(server => server.instance));
-        for (const instance of [...this.servers.keys()].filter(instance => !listed.has(instance))) {
-            this.remove(instance, isPlatformHealthy, cause);
-        }
-        for (const server of servers) {
-            this.upsert(server, cause);
-        }
+    }
+
+    /**
+     * Whether an entry is older than what is known of its server: from an outdated copy of the platform's store, a
+     * server must not return that is draining or has left since. A new start of the server, or a later write, counts.
+     */
+    isOutdated(server: BackendServer): boolean {
+        const known = this.servers.get(server.instance);
+        const leaving = known?.state === "draining" ? known : this.departed.get(server.instance);
+        return leaving !== undefined && server.state === "ready" && leaving.startedAtMs === server.startedAtMs &&
+            server.sequence <= leaving.sequence;
     }
 
     private dropIfStillMissing(instance: string): void {
@@ -154,10 +176,19 @@
 
     private drop(server: KnownServer, cause: string): void {
         this.servers.delete(server.instance);
+        this.remember(server);
         this.index = undefined;
         void this.events.emit("changed", { kind: "left", server, cause });
     }
 
+    private remember({ instance, startedAtMs, sequence }: KnownServer): void {
+        this.departed.delete(instance);
+        this.departed.set(instance, { startedAtMs, sequence });
+        if (this.departed.size > MAXIMUM_DEPARTED) {
+            this.departed.delete(this.departed.keys().next().value!);
+        }
+    }
+
     private currentIndex(): DirectoryIndex {
         this.index ??= createIndex(this.servers.values());
         return this.index;
@@ -166,16 +197,17 @@
 
 function createIndex(servers: Iterable<KnownServer>): DirectoryIndex {
     const byService = new Map<string, KnownServer[]>();
-    const hosts = new Set<string>();
+    const hosts = new Map<string, FleetHost>();
     for (const server of servers) {
-        hosts.add(server.hostAddress);
+        const { hostAddress, failureDomain } = server;
+        hosts.set(hostAddress, { address: hostAddress, failureDomain });
         if (server.state === "ready") {
             const list = byService.get(server.service) ?? [];
             list.push(server);
             byService.set(server.service, list);
         }
     }
-    return { byService, hosts: [...hosts].sort() };
+    return { byService, hosts: [...hosts.keys()].sort(), fleetHosts: [...hosts.values()] };
 }
 
 function startsAfter(server: KnownServer, other: KnownServer | undefined): boolean {
--- /dev/null
+++ b/packages/mesh/src/process/state-follower.ts
@@ -0,0 +1,359 @@
+/**
+ * Keeps this node's copy of the published state current, from other nodes or from the platform, and applies it.
+ *
+ * Each answer proves that the state was current when the platform was asked for it, and renews the configuration lease.
+ */
+import type { Clock } from "@radishrouter/core";
+import { delay } from "@radishrouter/core";
+import type { StateReport } from "../connection/link-message.js";
+import type { ClockReading, ConfigurationLease } from "../version/configuration-lease.js";
+import type { PublishedItem, PublishedState, StatePosition, StateUpdate } from "../version/published-state.js";
+import { PublishedStateError } from "./published-state-reader.js";
+import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
+import type { RequestLog } from "./request-log.js";
+import type { ServerDirectory } from "./server-directory.js";
+import type { UpdateSource, UpdateSourceSelector } from "./update-source-selector.js";
+
+/** Collaborators of a follower. */
+export interface StateFollowerDependencies {
+    readonly clock: Clock;
+    readonly reader: PublishedStateReader;
+    readonly decoder: PublishedItemDecoder;
+    readonly selector: UpdateSourceSelector;
+    readonly state: PublishedState;
+    readonly lease: ConfigurationLease;
+    readonly directory: ServerDirectory;
+    readonly log: RequestLog;
+    /** Asks the node at an address for state after a position; resolves with undefined when it gives no answer. */
+    readonly askPeer: (
+        address: string,
+        position: StatePosition | undefined,
+        waitMs: number,
+    ) => Promise<StateReport | undefined>;
+    /** Activates a configuration if it is newer than the active one; returns whether it is. */
+    readonly applyConfiguration: (decoded: DecodedConfiguration, cause: string) => boolean;
+    readonly activeConfigurationVersion: () => number | undefined;
+    readonly random?: () => number;
+}
+
+/** Time for which a peer may wait for something newer; a peer that stops is noticed a little later. */
+const PEER_WAIT_MS = 500;
+/** Time for which the platform may wait for changes; each answer renews the configuration lease of the whole fleet. */
+const PLATFORM_WAIT_MS = 800;
+/** A check on the platform returns at once. */
+const PLATFORM_CHECK_WAIT_MS = 1;
+/** Age of its last proof from which a peer no longer counts as current. */
+const OUTDATED_AFTER_MS = 2_400;
+const INITIAL_RETRY_DELAY_MS = 100;
+const MAXIMUM_RETRY_DELAY_MS = 800;
+/** Delay before the next question after a change, so that further changes shortly after it come in one answer. */
+const CHANGE_BATCHING_DELAY_MS = 200;
+/** Longest random delay before everything is read again, so that nodes do not read together. */
+const READ_AGAIN_JITTER_MS = 100;
+/** Time without a failure after which the platform counts as stable again. */
+const PLATFORM_RECOVERY_MS = 3_000;
+/** Peers that a node asks at its start whether a newer configuration was in force before. */
+const MAXIMUM_FIRST_QUESTIONS = 3;
+
+/** Follows the published state until closed. */
+export class StateFollower {
+    private closed = false;
+    private isPlatformFailing = false;
+    /** Whether the changes after the held position are not available, so that everything has to be read. */
+    private mustReadAll = false;
+    private lastUnstableAtMs = -Infinity;
+    private nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
+    private lastSource = "";
+    /** Version of the configuration in the copy of the store that is held; it may be older than the active one. */
+    private publishedVersion: number | undefined;
+    /** Highest version that other nodes report to have been in force. */
+    private reportedVersion = -Infinity;
+    private firstQuestionsLeft = MAXIMUM_FIRST_QUESTIONS;
+    /** Proof that counts as soon as the first questions are answered. */
+    private heldProof: ClockReading | undefined;
+
+    private constructor(private readonly dependencies: StateFollowerDependencies) {}
+
+    static create(dependencies: StateFollowerDependencies): StateFollower {
+        return new StateFollower(dependencies);
+    }
+
+    /** Follows the state; resolves when closed. */
+    async run(): Promise<void> {
+        while (!this.closed) {
+            await this.step(this.nextSource());
+        }
+    }
+
+    /** Stops following; a question in flight is still completed and its answer applied. */
+    close(): void {
+        this.closed = true;
+    }
+
+    /** Whether missing entries have really left: during an outage, entries of running servers may be removed. */
+    isPlatformStable(): boolean {
+        return this.dependencies.clock.nowMs() - this.lastUnstableAtMs > PLATFORM_RECOVERY_MS;
+    }
+
+    /** Highest configuration version that is known to have been in force; undefined if none is. */
+    get knownConfigurationVersion(): number | undefined {
+        const known = Math.max(this.dependencies.activeConfigurationVersion() ?? -Infinity, this.reportedVersion);
+        return Number.isFinite(known) ? known : undefined;
+    }
+
+    private nextSource(): UpdateSource {
+        const { selector } = this.dependencies;
+        const isStarting = this.firstQuestionsLeft > 0 && this.dependencies.state.position !== undefined;
+        const source = isStarting ? selector.nextAtStart() : selector.next();
+        if (isStarting && source.kind === "platform") {
+            this.endFirstQuestions();
+        }
+        return source;
+    }
+
+    private async step(source: UpdateSource): Promise<void> {
+        this.logSource(source);
+        switch (source.kind) {
+            case "platform":
+                await this.askPlatform(source.mode === "check");
+                return;
+            case "peer":
+                await this.askPeer(source.address);
+                return;
+        }
+    }
+
+    private async askPlatform(isCheck: boolean): Promise<void> {
+        const { reader, state, lease, selector } = this.dependencies;
+        const sentAt = lease.now();
+        const { position } = state;
+        try {
+            const waitMs = isCheck || this.isPlatformFailing ? PLATFORM_CHECK_WAIT_MS : PLATFORM_WAIT_MS;
+            const update = position && !this.mustReadAll ?
+                await reader.watch(position, waitMs) :
+                await reader.readAll();
+            this.mustReadAll = false;
+            this.recordPlatformAnswer();
+            const changed = this.apply(update, state.applyFromPlatform(update), position);
+            selector.recordPlatformAnswer();
+            this.renewLease(sentAt);
+            if (changed.length > 0 && !isCheck) {
+                await this.delay(CHANGE_BATCHING_DELAY_MS);
+            }
+        }
+        catch (error) {
+            await this.handlePlatformFailure(error);
+        }
+    }
+
+    /** Asks a peer; whatever it replies, or fails to reply, the node goes on. */
+    private async askPeer(address: string): Promise<void> {
+        const { state, lease, selector, log, askPeer } = this.dependencies;
+        const sentAt = lease.now();
+        const { position } = state;
+        const isStarting = this.firstQuestionsLeft > 0;
+        try {
+            const report = await askPeer(address, position, isStarting ? 0 : PEER_WAIT_MS);
+            if (!report) {
+                this.recordPeerFailure(address, "no-answer");
+                return;
+            }
+            this.applyReport(address, report, sentAt, position);
+        }
+        catch (error) {
+            log.problem("state-report-refused", { peer: address, problem: String(error) });
+            selector.recordPeerFailure(address, "no-answer");
+        }
+    }
+
+    private applyReport(
+        address: string,
+        report: StateReport,
+        sentAt: ClockReading,
+        position: StatePosition | undefined,
+    ): void {
+        const { state } = this.dependencies;
+        this.reportedVersion = Math.max(this.reportedVersion, report.configurationVersion ?? -Infinity);
+        if (!report.isPlatformStable) {
+            this.lastUnstableAtMs = this.dependencies.clock.nowMs();
+        }
+        if (report.update) {
+            this.apply(report.update, state.apply(report.update), position);
+        }
+        const isOtherEra = report.position?.era !== state.position?.era;
+        const proofAt = isOtherEra ? undefined : this.proofOf(report, sentAt);
+        if (proofAt) {
+            this.renewLease(proofAt);
+        }
+        this.endFirstQuestions();
+        if (!proofAt || this.dependencies.lease.now().monotonicMs - proofAt.monotonicMs > OUTDATED_AFTER_MS) {
+            this.recordPeerFailure(address, "outdated");
+            return;
+        }
+        this.dependencies.selector.recordPeerAnswer(address);
+    }
+
+    /**
+     * Time of the proof that a peer handed on, by the clocks of this node. The reply was sent at least `heldMs` after
+     * the question; a peer cannot have held it for longer than the answer took.
+     */
+    private proofOf({ proofAgeMs, heldMs }: StateReport, sentAt: ClockReading): ClockReading | undefined {
+        const elapsedMs = this.dependencies.lease.now().monotonicMs - sentAt.monotonicMs;
+        const offsetMs = Math.min(Math.max(0, heldMs), elapsedMs) - Math.max(0, proofAgeMs);
+        return Number.isFinite(offsetMs) ?
+            { monotonicMs: sentAt.monotonicMs + offsetMs, wallMs: sentAt.wallMs + offsetMs } :
+            undefined;
+    }
+
+    private recordPeerFailure(address: string, failure: "no-answer" | "outdated"): void {
+        if (this.firstQuestionsLeft > 0) {
+            this.firstQuestionsLeft--;
+            if (this.firstQuestionsLeft === 0) {
+                this.endFirstQuestions();
+            }
+        }
+        this.dependencies.selector.recordPeerFailure(address, failure);
+    }
+
+    private endFirstQuestions(): void {
+        this.firstQuestionsLeft = 0;
+        if (this.heldProof) {
+            this.renewLease(this.heldProof);
+            this.heldProof = undefined;
+        }
+    }
+
+    /**
+     * Renews the lease unless the copy that was read is older than what was in force. A process that has just started
+     * asks other nodes first, because it cannot know what was in force before.
+     */
+    private renewLease(proofAt: ClockReading): void {
+        if (this.firstQuestionsLeft > 0) {
+            this.heldProof = proofAt;
+            return;
+        }
+        const isCurrent = this.publishedVersion === this.dependencies.activeConfigurationVersion() &&
+            (this.publishedVersion ?? -Infinity) >= this.reportedVersion;
+        if (isCurrent) {
+            this.dependencies.lease.renew(proofAt);
+        }
+    }
+
+    /** Applies the changed items of an update that was asked for at `position`. */
+    private apply(
+        update: StateUpdate,
+        changed: readonly PublishedItem[],
+        position: StatePosition | undefined,
+    ): readonly PublishedItem[] {
+        const { directory, log, clock } = this.dependencies;
+        const isOlderCopy = position !== undefined && position.era !== update.position.era;
+        if (isOlderCopy && changed.length > 0) {
+            this.lastUnstableAtMs = clock.nowMs();
+            log.problem("platform-returned-from-older-copy", {
+                era: update.position.era,
+                revision: update.position.revision,
+                revisionBefore: position.revision,
+            });
+        }
+        changed.forEach(item => this.applyItem(item, isOlderCopy));
+        if (update.kind === "snapshot" && !directory.hasList) {
+            directory.markLoaded();
+        }
+        return changed;
+    }
+
+    private applyItem(item: PublishedItem, isOlderCopy: boolean): void {
+        const meaning = this.dependencies.decoder.kindOf(item.key);
+        switch (meaning.kind) {
+            case "configuration":
+                this.applyConfiguration(item);
+                return;
+            case "server":
+                this.applyServer(meaning.instance, item, isOlderCopy);
+                return;
+            case "other":
+                return;
+        }
+    }
+
+    private applyConfiguration({ value, revision }: PublishedItem): void {
+        if (!value) {
+            return;
+        }
+        const { decoder, log, applyConfiguration } = this.dependencies;
+        try {
+            const decoded = decoder.decodeConfiguration(value);
+            this.publishedVersion = decoded.configuration.version;
+            if (applyConfiguration(decoded, `revision ${revision}`)) {
+                decoded.problems.forEach(problem => log.problem("configuration-entry-refused", { problem }));
+            }
+        }
+        catch (error) {
+            log.problem("configuration-refused", { revision, problem: String(error) });
+        }
+    }
+
+    private applyServer(instance: string, item: PublishedItem, isOlderCopy: boolean): void {
+        const { directory, decoder, log } = this.dependencies;
+        const cause = `revision ${item.revision}`;
+        try {
+            const server = item.value && decoder.decodeServer(instance, item.value);
+            if (!server) {
+                directory.remove(instance, this.isPlatformStable(), cause);
+            }
+            else if (!isOlderCopy || !directory.isOutdated(server)) {
+                directory.upsert(server, cause);
+            }
+        }
+        catch (error) {
+            log.problem("server-entry-refused", { key: item.key, revision: item.revision, problem: String(error) });
+            directory.remove(instance, this.isPlatformStable(), cause);
+        }
+    }
+
+    private recordPlatformAnswer(): void {
+        this.nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
+        if (this.isPlatformFailing) {
+            this.isPlatformFailing = false;
+            this.dependencies.log.event("store-regained");
+        }
+    }
+
+    /** Logs a failure of the platform and waits before the next question. */
+    private async handlePlatformFailure(error: unknown): Promise<void> {
+        const { state, log, clock, selector } = this.dependencies;
+        const failure = error instanceof PublishedStateError ? error.failure : "invalid-answer";
+        if (failure === "position-unknown") {
+            log.event("store-history-gone", { revision: state.position?.revision });
+            this.mustReadAll = true;
+            selector.preferPlatform();
+            await this.delay(READ_AGAIN_JITTER_MS * this.random());
+            return;
+        }
+        this.lastUnstableAtMs = clock.nowMs();
+        selector.recordPlatformFailure();
+        if (!this.isPlatformFailing) {
+            this.isPlatformFailing = true;
+            log.problem("store-lost", { failure, problem: String(error) });
+        }
+        const delayMs = this.nextRetryDelayMs * (0.5 + this.random() / 2);
+        this.nextRetryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, this.nextRetryDelayMs * 2);
+        await this.delay(delayMs);
+    }
+
+    private logSource(source: UpdateSource): void {
+        const name = source.kind === "peer" ? source.address : "platform";
+        if (name !== this.lastSource) {
+            this.dependencies.log.decision("state-source", { source: name, before: this.lastSource });
+            this.lastSource = name;
+        }
+    }
+
+    private random(): number {
+        return (this.dependencies.random ?? Math.random)();
+    }
+
+    private delay(durationMs: number): Promise<void> {
+        return delay(this.dependencies.clock, durationMs);
+    }
+}
--- a/packages/mesh/src/test/example-values.ts
+++ b/packages/mesh/src/test/example-values.ts
@@ -34,6 +34,7 @@
         state: "ready",
         warmUpRemainingMs: 0,
         startedAtMs: undefined,
+        sequence: 1,
         warmingUpUntilMs: 0,
         missingSinceMs: undefined,
         ...changes,
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -2,14 +2,23 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { PeerHealth, ServerDirectory, ServiceRetryBudget } from "../index.js";
+import type { BackendServer } from "../index.js";
 import { createServer } from "./example-values.js";
 
+/** Adds the servers of a complete list and removes the others. */
+function applyList(directory: ServerDirectory, servers: readonly BackendServer[], isPlatformHealthy: boolean): void {
+    const listed = new Set(servers.map(server => server.instance));
+    const left = [...directory.all()].filter(server => !listed.has(server.instance));
+    left.forEach(server => directory.remove(server.instance, isPlatformHealthy, "test"));
+    servers.forEach(server => directory.upsert(server, "test"));
+}
+
 const PLATFORM_HEALTHY = true;
 const PLATFORM_DISTURBED = false;
 
 test("a draining server gets no new requests", () => {
     const directory = ServerDirectory.create(ManualClock.create());
-    directory.replace([createServer("one"), createServer("three")], PLATFORM_HEALTHY, "test");
+    applyList(directory, [createServer("one"), createServer("three")], PLATFORM_HEALTHY);
     directory.upsert(createServer("one", { state: "draining" }), "test");
     assert.deepEqual(directory.readyServers("catalogue").map(server => server.instance), ["three"]);
     assert.equal(directory.find("one")?.state, "draining");
@@ -17,7 +26,7 @@
 
 test("an entry that is removed while the platform is healthy is removed at once", () => {
     const directory = ServerDirectory.create(ManualClock.create());
-    directory.replace([createServer("one")], PLATFORM_HEALTHY, "test");
+    applyList(directory, [createServer("one")], PLATFORM_HEALTHY);
     directory.remove("one", PLATFORM_HEALTHY, "test");
     assert.equal(directory.readyServers("catalogue").length, 0);
 });
@@ -25,8 +34,8 @@
 test("an entry that lapsed during a platform outage stays usable until the time to come back has passed", () => {
     const clock = ManualClock.create();
     const directory = ServerDirectory.create(clock);
-    directory.replace([createServer("one"), createServer("three")], PLATFORM_HEALTHY, "test");
-    directory.replace([], PLATFORM_DISTURBED, "list after the outage");
+    applyList(directory, [createServer("one"), createServer("three")], PLATFORM_HEALTHY);
+    applyList(directory, [], PLATFORM_DISTURBED);
     assert.equal(directory.readyServers("catalogue").length, 2);
     clock.advance(1_000);
     directory.upsert(createServer("one"), "came back");
@@ -36,7 +45,7 @@
 
 test("a draining server is removed at once even when its entry lapses during a platform outage", () => {
     const directory = ServerDirectory.create(ManualClock.create());
-    directory.replace([createServer("one", { state: "draining" })], PLATFORM_HEALTHY, "test");
+    applyList(directory, [createServer("one", { state: "draining" })], PLATFORM_HEALTHY);
     directory.remove("one", PLATFORM_DISTURBED, "test");
     assert.equal(directory.find("one"), undefined);
 });
--- a/packages/mesh/src/test/peer-server.test.ts
+++ b/packages/mesh/src/test/peer-server.test.ts
@@ -3,7 +3,14 @@
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { PeerServer } from "../connection/peer-server.js";
-import { MessageSocket, OrganisationQuota, RequestLog } from "../index.js";
+import {
+    ConfigurationLease,
+    MessageSocket,
+    OrganisationQuota,
+    PublishedState,
+    RequestLog,
+    StateAnswers,
+} from "../index.js";
 import type { ForwardedRequest, LinkMessage } from "../index.js";
 import { LifeCycle } from "../process/life-cycle.js";
 import { ServerRig, waitUntil } from "./server-rig.js";
@@ -37,12 +44,20 @@
 beforeEach(async () => {
     rig = await ServerRig.create();
     const { clock, backlog, client, gate, onwardPressure } = rig;
+    const stateAnswers = StateAnswers.create({
+        clock,
+        state: PublishedState.create(),
+        lease: ConfigurationLease.create(clock, undefined),
+        isPlatformStable: () => true,
+        knownConfigurationVersion: () => undefined,
+    });
     peerServer = PeerServer.create({
         clock,
         backlog,
         server: client,
         gate,
         onwardPressure,
+        stateAnswers,
         quota: OrganisationQuota.create(clock, "127.0.0.1", () => ["127.0.0.1"], 2_000),
         lifeCycle: LifeCycle.create(),
         log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
