Ask the platform without waiting after a host turned out to be outdated

Cause, from the log of the sources: the first question after an outdated peer was a watch, which waits; an outdated peer was avoided for 1 s, also by the one that it needed; and a failed question to the platform was followed by a pause even where a peer could be asked at once. The waits follow from the lease now.

--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -36,14 +36,16 @@
     readonly random?: () => number;
 }
 
-/** Time for which a peer may wait for something newer; a peer that stops is noticed a little later. */
-const PEER_WAIT_MS = 500;
-/** Time for which the platform may wait for changes; each answer renews the configuration lease of the whole fleet. */
-const PLATFORM_WAIT_MS = 800;
+/** Lease that the waits are made for if keys need no proof that they are current. */
+const DEFAULT_LEASE_MS = 5_000;
+/** Fractions of the lease: two waits of the platform and one of a peer have to pass well before a proof is outdated. */
+const PLATFORM_WAIT_FRACTION = 0.16;
+const PEER_WAIT_FRACTION = 0.1;
+const OUTDATED_FRACTION = 0.48;
+const MAXIMUM_PLATFORM_WAIT_MS = 800;
+const MAXIMUM_PEER_WAIT_MS = 500;
 /** A check on the platform returns at once. */
 const PLATFORM_CHECK_WAIT_MS = 1;
-/** Age of its last proof from which a peer no longer counts as current. */
-const OUTDATED_AFTER_MS = 2_400;
 const INITIAL_RETRY_DELAY_MS = 100;
 const MAXIMUM_RETRY_DELAY_MS = 800;
 /** Delay before the next question after a change, so that further changes shortly after it come in one answer. */
@@ -55,6 +57,24 @@
 /** Peers that a node asks at its start whether a newer configuration was in force before. */
 const MAXIMUM_FIRST_QUESTIONS = 3;
 
+/** Waits of a follower; they follow from the time within which a withdrawn key must be refused. */
+interface FollowWaits {
+    /** Time for which the platform may wait for changes; each answer renews the configuration lease of the fleet. */
+    readonly platformWaitMs: number;
+    /** Time for which a peer may wait for something newer; a peer that stops is noticed a little later. */
+    readonly peerWaitMs: number;
+    /** Age of its last proof from which a peer no longer counts as current. */
+    readonly outdatedAfterMs: number;
+}
+
+function waitsFor(leaseMs: number): FollowWaits {
+    return {
+        platformWaitMs: Math.ceil(Math.min(MAXIMUM_PLATFORM_WAIT_MS, leaseMs * PLATFORM_WAIT_FRACTION)),
+        peerWaitMs: Math.min(MAXIMUM_PEER_WAIT_MS, leaseMs * PEER_WAIT_FRACTION),
+        outdatedAfterMs: leaseMs * OUTDATED_FRACTION,
+    };
+}
+
 /** Follows the published state until closed. */
 export class StateFollower {
     private closed = false;
@@ -72,7 +92,11 @@
     /** Proof that counts as soon as the first questions are answered. */
     private heldProof: ClockReading | undefined;
 
-    private constructor(private readonly dependencies: StateFollowerDependencies) {}
+    private readonly waits: FollowWaits;
+
+    private constructor(private readonly dependencies: StateFollowerDependencies) {
+        this.waits = waitsFor(dependencies.lease.durationMs ?? DEFAULT_LEASE_MS);
+    }
 
     static create(dependencies: StateFollowerDependencies): StateFollower {
         return new StateFollower(dependencies);
@@ -128,7 +152,7 @@
         const sentAt = lease.now();
         const { position } = state;
         try {
-            const waitMs = isCheck || this.isPlatformFailing ? PLATFORM_CHECK_WAIT_MS : PLATFORM_WAIT_MS;
+            const waitMs = isCheck || this.isPlatformFailing ? PLATFORM_CHECK_WAIT_MS : this.waits.platformWaitMs;
             const update = position && !this.mustReadAll ?
                 await reader.watch(position, waitMs) :
                 await reader.readAll();
@@ -153,7 +177,7 @@
         const { position } = state;
         const isStarting = this.firstQuestionsLeft > 0;
         try {
-            const report = await askPeer(address, position, isStarting ? 0 : PEER_WAIT_MS);
+            const report = await askPeer(address, position, isStarting ? 0 : this.waits.peerWaitMs);
             if (!report) {
                 this.recordPeerFailure(address, "no-answer");
                 return;
@@ -186,7 +210,7 @@
             this.renewLease(proofAt);
         }
         this.endFirstQuestions();
-        if (!proofAt || this.dependencies.lease.now().monotonicMs - proofAt.monotonicMs > OUTDATED_AFTER_MS) {
+        if (!proofAt || this.dependencies.lease.now().monotonicMs - proofAt.monotonicMs > this.waits.outdatedAfterMs) {
             this.recordPeerFailure(address, "outdated");
             return;
         }
@@ -319,7 +343,7 @@
         }
     }
 
-    /** Logs a failure of the platform and waits before the next question. */
+    /** Logs a failure of the platform; waits if it has to be asked again, because no other node can be asked. */
     private async handlePlatformFailure(error: unknown): Promise<void> {
         const { state, log, clock, selector } = this.dependencies;
         const failure = error instanceof PublishedStateError ? error.failure : "invalid-answer";
@@ -336,6 +360,9 @@
             this.isPlatformFailing = true;
             log.problem("store-lost", { failure, problem: String(error) });
         }
+        if (selector.next().kind === "peer") {
+            return;
+        }
         const delayMs = this.nextRetryDelayMs * (0.5 + this.random() / 2);
         this.nextRetryDelayMs = Math.min(MAXIMUM_RETRY_DELAY_MS, this.nextRetryDelayMs * 2);
         await this.delay(delayMs);
--- a/packages/mesh/src/process/update-source-selector.ts
+++ b/packages/mesh/src/process/update-source-selector.ts
@@ -13,7 +13,7 @@
     | { readonly kind: "platform"; readonly mode: PlatformQuestion; }
     | { readonly kind: "peer"; readonly address: string; };
 
-/** `watch` waits for changes; `check` returns at once, because a peer is asked after it. */
+/** `watch` waits for changes; `check` returns at once, because the last proof is old already. */
 export type PlatformQuestion = "watch" | "check";
 
 /** Why a peer is not asked for a while: it gave no answer, or its own knowledge is too old. */
@@ -27,7 +27,8 @@
 }
 
 const AVOID_AFTER_NO_ANSWER_MS = 2_000;
-const AVOID_OUTDATED_MS = 1_000;
+/** Short, because a peer that is outdated reads the platform itself, or asks another peer, as soon as it notices. */
+const AVOID_OUTDATED_MS = 200;
 /** Interval at which a node whose questions to the platform fail tries again, while a peer keeps it current. */
 const PLATFORM_RETRY_INTERVAL_MS = 1_000;
 
@@ -47,12 +48,12 @@
 
     /** Chooses the source of the next question. */
     next(): UpdateSource {
+        if (this.isPlatformNext) {
+            return { kind: "platform", mode: "check" };
+        }
         const { ancestors, helpers } = this.inputs.plan();
         const address = this.firstUsable(this.isPlatformFailing() ? [...ancestors, ...helpers] : ancestors);
-        if (address === undefined) {
-            return { kind: "platform", mode: "watch" };
-        }
-        return this.isPlatformNext ? { kind: "platform", mode: "check" } : { kind: "peer", address };
+        return address === undefined ? { kind: "platform", mode: "watch" } : { kind: "peer", address };
     }
 
     /** Chooses the source of a first question after a start, which any peer can answer. */
--- a/packages/mesh/src/test/update-source-selector.test.ts
+++ b/packages/mesh/src/test/update-source-selector.test.ts
@@ -34,7 +34,7 @@
 
 test("the root of the fleet watches the platform", () => {
     plan = { ancestors: [], helpers: ["helper"] };
-    assert.equal(nextName(), "watch");
+    assert.equal(nextName(), "check");
     selector.recordPlatformAnswer();
     assert.equal(nextName(), "watch");
 });
@@ -64,6 +64,17 @@
     assert.equal(nextName(), "watch", "the platform is tried again after a while");
 });
 
+test("after the only host to follow turned out to be outdated, the platform is asked without waiting", () => {
+    plan = { ancestors: ["root"], helpers: [] };
+    selector.recordPlatformAnswer();
+    selector.recordPeerFailure("root", "outdated");
+    assert.equal(nextName(), "check");
+    selector.recordPlatformAnswer();
+    assert.equal(nextName(), "watch");
+    clock.advance(201);
+    assert.equal(nextName(), "root");
+});
+
 test("an outdated host is not followed while the platform or another host answers", () => {
     selector.recordPlatformAnswer();
     selector.recordPeerFailure("parent", "outdated");
--- a/packages/mesh/src/version/configuration-lease.ts
+++ b/packages/mesh/src/version/configuration-lease.ts
@@ -23,7 +23,8 @@
 
     private constructor(
         private readonly clock: Clock,
-        private readonly durationMs: number | undefined,
+        /** Undefined where the lease lasts for ever. */
+        readonly durationMs: number | undefined,
         private readonly wallClock: () => number,
     ) {}
 
