Give an organisation as many quota holders as its burst fills, and a reserve across partitions

Callers saw: 429 within their quotas.

Cause: an organisation had as many holders as its burst has tokens, each with room for one. Tokens overflowed at holders without demand, while a search asked four holders and then rested for up to a second; a refused caller was sent back after two to four seconds, as a host that generates nothing knows no time. Ruled out: the search's rest alone (one holder for each eight tokens, same rest: all shapes within 1%).

Now a holder for each eight tokens of the burst; after a list change only new hosts are ranked. The holder says when it expects a token again. A grant that comes late is kept. Callers that reach no holder (one holder is lost more easily than three) use a reserve at one host of each failure domain, bounded so that two sides stay within the tolerated excess.

phased-limit: the organisation of 'a share that shrinks' has a burst of 20 in place of 10, so that two hosts still share its rate; the bound is the same.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -72,8 +72,21 @@
         readonly outcome: ForwardedOutcome;
         readonly state: NodeState;
     }
-    | { readonly kind: "ask-tokens"; readonly number: number; readonly organisation: string; readonly wanted: number; }
-    | { readonly kind: "tokens"; readonly number: number; readonly granted: number; }
+    | {
+        readonly kind: "ask-tokens";
+        readonly number: number;
+        readonly organisation: string;
+        readonly wanted: number;
+        /** Whether tokens of the reserve are asked for, because no holder of the quota can be reached. */
+        readonly isReserve: boolean;
+    }
+    | {
+        readonly kind: "tokens";
+        readonly number: number;
+        readonly granted: number;
+        /** Time after which the sender expects to have a token for a further request. */
+        readonly nextTokenInMs: number;
+    }
     | {
         readonly kind: "ask-state";
         readonly number: number;
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -3,6 +3,7 @@
  */
 import type { Clock } from "@radishrouter/core";
 import { delay } from "@radishrouter/core";
+import type { TokenGrant } from "../process/organisation-quota.js";
 import type { PeerHealth, PeerTrouble } from "../process/peer-health.js";
 import type { KnownServer } from "../process/server-directory.js";
 import type { Attempt, AttemptOutcome, AttemptResult, UnknownReason } from "../request/outcome.js";
@@ -12,6 +13,7 @@
 import type { ForwardedOutcome, ForwardedRequest, NodeState, StateReport } from "./link-message.js";
 import { PeerLink } from "./peer-link.js";
 import type { ForwardResponse, LinkResult } from "./peer-link.js";
+import type { TokenRequest } from "./token-broker.js";
 
 /** Collaborators and settings of the client for peers. */
 export interface PeerClientDependencies {
@@ -21,11 +23,13 @@
     readonly peerPort: number;
     /** Called with the state that the node at an address reported for itself and its backend server. */
     readonly onState: (address: string, state: NodeState) => void;
+    /** Called with tokens that a peer granted after the request for them had timed out. */
+    readonly onLateTokens: (organisation: string, granted: number) => void;
 }
 
 const PROBE_INTERVAL_MS = 300;
 const PROBE_TIMEOUT_MS = 600;
-const TOKENS_TIMEOUT_MS = 60;
+const TOKENS_TIMEOUT_MS = 120;
 /** Time for an answer about the published state, in addition to the time for which the peer may wait. */
 const STATE_TIMEOUT_MS = 300;
 
@@ -54,12 +58,23 @@
         return { result, abort };
     }
 
-    /** Requests tokens of an organisation from the node at an address; resolves with the number granted. */
-    async requestTokens(address: string, organisation: string, wanted: number): Promise<number> {
-        const granted = this.getLink(address).requestTokens(organisation, wanted);
-        // Tokens that are granted after the timeout are lost.
-        const timeout = delay(this.dependencies.clock, TOKENS_TIMEOUT_MS).then(() => 0);
-        return await Promise.race([granted, timeout]);
+    /**
+     * Requests tokens of an organisation from the node at an address. Resolves with undefined when it gives no answer
+     * in time; tokens that it grants later are handed to `onLateTokens`, so that they are not lost.
+     */
+    async requestTokens(address: string, request: TokenRequest): Promise<TokenGrant | undefined> {
+        let isLate = false;
+        const grant = this.getLink(address).requestTokens(request).then(reply => {
+            if (isLate && reply && reply.granted > 0) {
+                this.dependencies.onLateTokens(request.organisation, reply.granted);
+            }
+            return reply;
+        });
+        const timeout = delay(this.dependencies.clock, TOKENS_TIMEOUT_MS).then(() => {
+            isLate = true;
+            return undefined;
+        });
+        return await Promise.race([grant, timeout]);
     }
 
     /**
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -8,10 +8,12 @@
 import type { Clock, Timer } from "@radishrouter/core";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
+import type { TokenGrant } from "../process/organisation-quota.js";
 import type { StatePosition } from "../version/published-state.js";
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState, StateReport } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import { PeerClock } from "./peer-clock.js";
+import type { TokenRequest } from "./token-broker.js";
 
 /** Outcome of a call. `sent` is false only if the peer cannot have received the call. */
 export type LinkResult<Reply> =
@@ -117,15 +119,15 @@
         return { result, cancel: () => this.cancel(number) };
     }
 
-    /** Requests tokens of an organisation; resolves with the number granted, 0 if the link fails. */
-    async requestTokens(organisation: string, wanted: number): Promise<number> {
+    /** Requests tokens of an organisation; resolves with undefined if the link fails. */
+    async requestTokens(request: TokenRequest): Promise<TokenGrant | undefined> {
         const number = ++this.lastNumber;
-        const result = await this.call<number>(
-            { kind: "ask-tokens", number, organisation, wanted },
+        const result = await this.call<TokenGrant>(
+            { kind: "ask-tokens", number, ...request },
             true,
-            message => message.kind === "tokens" ? message.granted : undefined,
+            message => message.kind === "tokens" ? message : undefined,
         );
-        return result.kind === "answered" ? result.answer : 0;
+        return result.kind === "answered" ? result.answer : undefined;
     }
 
     /** Asks for published state after a position; the peer may wait `waitMs` for it. */
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -119,8 +119,10 @@
                 this.cancel(message.number);
                 return;
             case "ask-tokens": {
-                const granted = this.dependencies.quota.grant(message.organisation, message.wanted);
-                this.messages.send({ kind: "tokens", number: message.number, granted });
+                const { number, organisation, wanted, isReserve } = message;
+                const { quota } = this.dependencies;
+                const grant = isReserve ? quota.grantReserve(organisation, wanted) : quota.grant(organisation, wanted);
+                this.messages.send({ kind: "tokens", number, ...grant });
                 return;
             }
             case "ask-state": {
--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -2,7 +2,7 @@
  * Requests tokens for organisations from other hosts when this host has none left.
  */
 import type { Clock } from "@radishrouter/core";
-import type { OrganisationQuota } from "../process/organisation-quota.js";
+import type { OrganisationQuota, TokenGrant } from "../process/organisation-quota.js";
 import type { Organisation } from "../version/mesh-configuration.js";
 
 /** Whether a request is within the rate of its organisation. */
@@ -17,11 +17,22 @@
     readonly localAddress: string;
     /** Whether tokens can be requested from a host. */
     readonly isReachable: (address: string) => boolean;
-    /** Requests tokens from a host; resolves with the number granted. */
-    readonly requestTokens: (address: string, organisation: string, wanted: number) => Promise<number>;
+    /**
+     * Requests tokens of an organisation from a host, or of its reserve; resolves with undefined if the host gives no
+     * answer.
+     */
+    readonly requestTokens: (address: string, request: TokenRequest) => Promise<TokenGrant | undefined>;
     readonly random?: () => number;
 }
 
+/** Tokens that are requested from another host. */
+export interface TokenRequest {
+    readonly organisation: string;
+    readonly wanted: number;
+    /** Whether tokens of the reserve are requested, because no holder of the quota can be reached. */
+    readonly isReserve: boolean;
+}
+
 /** A running search for tokens of one organisation. */
 interface Search {
     /** Requests that wait for the search. */
@@ -49,6 +60,8 @@
 export class TokenBroker {
     private readonly searches = new Map<string, Search>();
     private readonly backoffs = new Map<string, SearchBackoff>();
+    /** Time at which a host that was asked last expected to have a token again; by organisation. */
+    private readonly nextTokenAtMs = new Map<string, number>();
     /** Index, in the list of reachable token hosts, of the host that the next search begins with; by organisation. */
     private readonly nextHostIndex = new Map<string, number>();
     private readonly random: () => number;
@@ -90,34 +103,76 @@
     }
 
     private async searchHosts(organisation: Organisation): Promise<void> {
-        const { quota, clock, requestTokens } = this.dependencies;
         const { name } = organisation;
         // Requests that arrive together share the search.
         await Promise.resolve();
+        const hosts = this.hostsToSearch(organisation);
+        const received = hosts.length > 0 ?
+            await this.askHolders(organisation, hosts) :
+            await this.askReserves(organisation);
+        this.searches.delete(name);
+        this.recordSearch(name, received > 0);
+    }
+
+    /** Asks holders until enough tokens are granted; returns their number. */
+    private async askHolders(organisation: Organisation, hosts: readonly string[]): Promise<number> {
+        const { quota, clock, requestTokens } = this.dependencies;
+        const { name } = organisation;
         let received = 0;
         let lastHost = "";
-        const hosts = this.hostsToSearch(organisation);
+        let answers = 0;
         for (const address of hosts) {
             lastHost = address;
-            const waiting = this.searches.get(name)?.waiting ?? 1;
+            const waiting = this.waitingFor(name);
             const wanted = quota.wanted(organisation, waiting) - received;
-            const granted = await requestTokens(address, name, wanted);
-            quota.receive(organisation, granted);
-            received += granted;
+            const grant = await requestTokens(address, { organisation: name, wanted, isReserve: false });
+            if (!grant) {
+                continue;
+            }
+            answers++;
+            quota.receive(organisation, grant.granted);
+            received += grant.granted;
+            this.nextTokenAtMs.set(name, clock.nowMs() + grant.nextTokenInMs);
             if (received >= waiting) {
                 break;
             }
         }
-        this.searches.delete(name);
         this.setNextHost(organisation, lastHost, received > 0);
-        if (received > 0) {
-            this.backoffs.delete(name);
+        return answers === 0 ? await this.askReserves(organisation) : received;
+    }
+
+    /** Takes tokens of a reserve, if this host generates none itself and no holder answers. */
+    private async askReserves(organisation: Organisation): Promise<number> {
+        const { quota, localAddress, isReachable, requestTokens } = this.dependencies;
+        if (quota.holdersOf(organisation).includesLocalHost) {
+            return 0;
+        }
+        const { name } = organisation;
+        const address = quota.reservesOf(organisation).find(host => host === localAddress || isReachable(host));
+        if (address === undefined) {
+            return 0;
         }
-        else {
-            const previous = this.backoffs.get(name);
-            const durationMs = previous ? Math.min(MAXIMUM_BACKOFF_MS, previous.durationMs * 2) : MINIMUM_BACKOFF_MS;
-            this.backoffs.set(name, { untilMs: clock.nowMs() + durationMs, durationMs });
+        const wanted = Math.max(1, this.waitingFor(name));
+        const grant = address === localAddress ?
+            quota.grantReserve(name, wanted) :
+            await requestTokens(address, { organisation: name, wanted, isReserve: true });
+        quota.receive(organisation, grant?.granted ?? 0);
+        return grant?.granted ?? 0;
+    }
+
+    private waitingFor(name: string): number {
+        return this.searches.get(name)?.waiting ?? 1;
+    }
+
+    /** After a search that found nothing, none is started for a while. */
+    private recordSearch(name: string, hasFound: boolean): void {
+        if (hasFound) {
+            this.backoffs.delete(name);
+            return;
         }
+        const previous = this.backoffs.get(name);
+        const durationMs = previous ? Math.min(MAXIMUM_BACKOFF_MS, previous.durationMs * 2) : MINIMUM_BACKOFF_MS;
+        this.backoffs.set(name, { untilMs: this.dependencies.clock.nowMs() + durationMs, durationMs });
     }
 
     /** Reachable other hosts that generate tokens for an organisation. */
@@ -145,10 +200,10 @@
      * demand far exceeds the tokens, early retries are refused again, so the time grows with the excess of demand.
      */
     private retryAfterMs(organisation: Organisation): number {
-        const { quota } = this.dependencies;
-        const timeToTokenMs = Math.max(MINIMUM_RETRY_AFTER_MS, quota.timeToNextTokenMs(organisation)) *
-            quota.demandRatio(organisation);
-        const minimumMs = Math.min(MAXIMUM_RETRY_AFTER_MS, Math.max(MINIMUM_RETRY_AFTER_MS, timeToTokenMs));
+        const { quota, clock } = this.dependencies;
+        const atHoldersMs = (this.nextTokenAtMs.get(organisation.name) ?? Infinity) - clock.nowMs();
+        const waitMs = Math.min(quota.expectedWaitMs(organisation), Math.max(MINIMUM_RETRY_AFTER_MS, atHoldersMs));
+        const minimumMs = Math.min(MAXIMUM_RETRY_AFTER_MS, Math.max(MINIMUM_RETRY_AFTER_MS, waitMs));
         return minimumMs * (1 + this.random());
     }
 }
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -23,6 +23,8 @@
 export * from "./process/phased-limit.js";
 export * from "./process/process-overload-guard.js";
 export * from "./process/published-state-reader.js";
+export * from "./process/quota-holders.js";
+export * from "./process/quota-reserve.js";
 export * from "./process/relay-tree.js";
 export * from "./process/request-log.js";
 export * from "./process/server-directory.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -30,6 +30,7 @@
 import { PeerHealth } from "./peer-health.js";
 import { ProcessOverloadGuard } from "./process-overload-guard.js";
 import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
+import type { QuotaTolerance } from "./quota-reserve.js";
 import { planRelay } from "./relay-tree.js";
 import type { FleetHost, RelayPlan } from "./relay-tree.js";
 import { RequestLog } from "./request-log.js";
@@ -63,9 +64,19 @@
     readonly retryBudgetLimits: RetryBudgetLimits;
     /** Time over which the rate of an organisation decreases to a lower value. */
     readonly rateReductionMs: number;
+    /** Excess over its rate that is tolerated of an organisation; undefined if none is. */
+    readonly quotaTolerance: QuotaTolerance | undefined;
     readonly log: { readonly decisionLinesPerSecond: number; readonly successSampleInterval: number; };
 }
 
+/** What follows from one list of hosts. */
+interface FleetView {
+    readonly listed: readonly FleetHost[];
+    /** The listed hosts and the local one. */
+    readonly hosts: readonly FleetHost[];
+    readonly relayPlan: RelayPlan;
+}
+
 /** Fraction of the drain time for which the local backend server still gets requests that are on their way. */
 const DRAIN_FRACTION = 0.6;
 /** Time for which callers and peers still send requests to a node that has announced its stop. */
@@ -99,7 +110,7 @@
     private readonly broker: TokenBroker;
     private readonly state = PublishedState.create();
     private follower: StateFollower | undefined;
-    private relayPlan: { readonly hosts: readonly FleetHost[]; readonly plan: RelayPlan; } | undefined;
+    private fleet: FleetView | undefined;
     private version: IndexedConfiguration | undefined;
     private callerServer: Server | undefined;
     private readonly listeners = NodeListeners.create();
@@ -121,6 +132,7 @@
             settings.hostAddress,
             () => this.fleetHosts(),
             settings.rateReductionMs,
+            settings.quotaTolerance,
         );
         this.metrics = MeshMetrics.create({
             load: () => this.gate.load(),
@@ -134,6 +146,7 @@
             health: this.health,
             peerPort: settings.peers.port,
             onState: (address, { load, onwardPressure }) => this.balancer.report(address, load, onwardPressure),
+            onLateTokens: (organisation, granted) => this.quota.receiveLate(organisation, granted),
         });
         this.peerServer = this.createPeerServer();
         this.broker = TokenBroker.create({
@@ -141,7 +154,7 @@
             quota: this.quota,
             localAddress: settings.hostAddress,
             isReachable: address => this.health.troubleOf(address) === undefined,
-            requestTokens: (address, organisation, wanted) => this.peers.requestTokens(address, organisation, wanted),
+            requestTokens: (address, request) => this.peers.requestTokens(address, request),
         });
     }
 
@@ -255,10 +268,22 @@
     }
 
     /** Hosts of the fleet, including this one even while its backend server is not listed. */
-    private fleetHosts(): readonly string[] {
-        const { hosts } = this.directory;
-        const { hostAddress } = this.settings;
-        return hosts.includes(hostAddress) ? hosts : [...hosts, hostAddress].sort();
+    private fleetHosts(): readonly FleetHost[] {
+        const listed = this.directory.fleetHosts;
+        if (this.fleet?.listed !== listed) {
+            const { hostAddress, failureDomain } = this.settings;
+            const localHost = { address: hostAddress, failureDomain };
+            const isListed = listed.some(({ address }) => address === hostAddress);
+            const hosts = isListed ? listed : [...listed, localHost];
+            this.fleet = { listed, hosts, relayPlan: planRelay(localHost, hosts) };
+        }
+        return this.fleet.hosts;
+    }
+
+    /** Hosts that this node can learn published state from, by the current list of hosts. */
+    private planRelay(): RelayPlan {
+        this.fleetHosts();
+        return this.fleet!.relayPlan;
     }
 
     private retryBudgetOf(service: string): ServiceRetryBudget {
@@ -307,16 +332,6 @@
         });
     }
 
-    /** Hosts that this node can learn published state from, by the current list of hosts. */
-    private planRelay(): RelayPlan {
-        const hosts = this.directory.fleetHosts;
-        if (this.relayPlan?.hosts !== hosts) {
-            const { hostAddress, failureDomain } = this.settings;
-            this.relayPlan = { hosts, plan: planRelay({ address: hostAddress, failureDomain }, hosts) };
-        }
-        return this.relayPlan.plan;
-    }
-
     private callerServerDependencies(): Parameters<typeof createCallerServer>[0] {
         const { clock, backlog, lease, log, metrics, lifeCycle, settings } = this;
         return {
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -8,9 +8,14 @@
  * the way reduces capacity and never adds any.
  */
 import type { Clock } from "@radishrouter/core";
-import { decayFactor, highestScoringNames } from "@radishrouter/core";
+import { decayFactor } from "@radishrouter/core";
 import type { Organisation } from "../version/mesh-configuration.js";
 import { PhasedLimit } from "./phased-limit.js";
+import { QuotaHolderSelection } from "./quota-holders.js";
+import type { QuotaHolders } from "./quota-holders.js";
+import { QuotaReserve } from "./quota-reserve.js";
+import type { QuotaTolerance } from "./quota-reserve.js";
+import type { FleetHost } from "./relay-tree.js";
 
 interface Bucket {
     tokens: number;
@@ -25,51 +30,64 @@
     ratePerSecond: number;
     /** Requests per second that arrive at this node, weighted towards the last second. */
     demandPerSecond: number;
+    /** Tokens per second that other hosts ask for, weighted in the same way. */
+    askedPerSecond: number;
     demandUpdatedAtMs: number;
 }
 
-/** Hosts that generate tokens for an organisation, according to the host list of this node. */
-export interface QuotaHolders {
-    /** Addresses of the hosts; each generates an equal fraction of the rate. */
-    readonly addresses: readonly string[];
-    readonly includesLocalHost: boolean;
+/** Tokens that a host grants to another one. */
+export interface TokenGrant {
+    readonly granted: number;
+    /** Time after which the host expects to have a token for a further request; 0 if it has one. */
+    readonly nextTokenInMs: number;
 }
 
 const SECOND_MS = 1000;
 const DEMAND_HALF_LIFE_MS = 700;
+/** Demand that one request adds; a steady demand adds up to its rate. */
+const DEMAND_PER_REQUEST = SECOND_MS / DEMAND_HALF_LIFE_MS * Math.LN2;
 /** A host keeps the tokens that its local callers are expected to need in this time. */
 const LOCAL_RESERVE_MS = 250;
 /** A host requests the tokens that its local callers are expected to need in this time. */
 const REQUEST_HORIZON_MS = 300;
 const MAXIMUM_GRANT = 64;
+/** Shortest time until a retry of a refused request; below it, refusals cost more than the tokens are worth. */
+const MINIMUM_WAIT_MS = 150;
+const NOTHING_GRANTED: TokenGrant = { granted: 0, nextTokenInMs: 0 };
 
 /** Token buckets of the organisations, each refilled with the fraction of the fleet's rate that this host generates. */
 export class OrganisationQuota {
     private readonly buckets = new Map<string, Bucket>();
-    private readonly holders = new Map<string, QuotaHolders>();
+    private readonly selection: QuotaHolderSelection;
+    private readonly reserve: QuotaReserve;
     private organisations = new Map<string, Organisation>();
     private readonly startedAtMs: number;
 
     private constructor(
         private readonly clock: Clock,
-        private readonly localAddress: string,
-        private readonly hosts: () => readonly string[],
+        localAddress: string,
+        hosts: () => readonly FleetHost[],
         private readonly rateReductionMs: number,
+        tolerance: QuotaTolerance | undefined,
     ) {
         this.startedAtMs = clock.nowMs();
+        this.selection = QuotaHolderSelection.create(localAddress, hosts);
+        this.reserve = QuotaReserve.create(clock, tolerance);
     }
 
     /**
      * Creates the quota of the host at `localAddress` in a fleet of `hosts`, which includes that host. A rate that is
-     * lowered decreases linearly over `rateReductionMs`.
+     * lowered decreases linearly over `rateReductionMs`. Where an excess is tolerated, hosts that cannot reach any
+     * holder have a reserve.
      */
     static create(
         clock: Clock,
         localAddress: string,
-        hosts: () => readonly string[],
+        hosts: () => readonly FleetHost[],
         rateReductionMs: number,
+        tolerance?: QuotaTolerance,
     ): OrganisationQuota {
-        return new OrganisationQuota(clock, localAddress, hosts, rateReductionMs);
+        return new OrganisationQuota(clock, localAddress, hosts, rateReductionMs, tolerance);
     }
 
     /** Replaces the organisations with the published ones. */
@@ -85,30 +103,26 @@
 
     /** Recomputes this host's shares after the host list or the rates have changed. */
     updateShares(): void {
-        this.holders.clear();
         for (const [name, bucket] of this.buckets) {
             this.updateShare(this.organisations.get(name)!, bucket);
         }
     }
 
-    /** Hosts that generate tokens for an organisation: all, or only as many as its burst has whole tokens. */
+    /** Hosts that generate tokens for an organisation. */
     holdersOf(organisation: Organisation): QuotaHolders {
-        let holders = this.holders.get(organisation.name);
-        if (!holders) {
-            const hosts = this.hosts();
-            const count = Math.max(1, Math.min(hosts.length, Math.floor(organisation.burst)));
-            const addresses = count === hosts.length ? hosts : highestScoringNames(organisation.name, hosts, count);
-            holders = { addresses, includesLocalHost: addresses.includes(this.localAddress) };
-            this.holders.set(organisation.name, holders);
-        }
-        return holders;
+        return this.selection.holdersOf(organisation);
+    }
+
+    /** Hosts that have a reserve for an organisation whose holders cannot be reached, in the order to ask them. */
+    reservesOf(organisation: Organisation): readonly string[] {
+        return this.selection.reservesOf(organisation);
     }
 
     /** Counts a request towards the demand of its organisation at this host. */
     recordDemand(organisation: Organisation): void {
         const bucket = this.bucketOf(organisation);
         this.decayDemand(bucket);
-        bucket.demandPerSecond += SECOND_MS / DEMAND_HALF_LIFE_MS * Math.LN2;
+        bucket.demandPerSecond += DEMAND_PER_REQUEST;
     }
 
     /** Takes a token for one request; returns false when this host has none. */
@@ -134,18 +148,36 @@
     }
 
     /** Grants tokens to another host, except those that local callers are expected to need soon. */
-    grant(organisationName: string, wanted: number): number {
+    grant(organisationName: string, wanted: number): TokenGrant {
         const organisation = this.organisations.get(organisationName);
         if (!organisation || !(wanted > 0)) {
-            return 0;
+            return NOTHING_GRANTED;
         }
         const bucket = this.bucketOf(organisation);
         this.refill(bucket);
         this.decayDemand(bucket);
+        bucket.askedPerSecond += Math.min(wanted, MAXIMUM_GRANT) * DEMAND_PER_REQUEST;
         const reserved = Math.floor(bucket.demandPerSecond * LOCAL_RESERVE_MS / SECOND_MS);
         const granted = Math.max(0, Math.min(wanted, MAXIMUM_GRANT, Math.floor(bucket.tokens - reserved)));
         bucket.tokens -= granted;
-        return granted;
+        return { granted, nextTokenInMs: granted > 0 ? 0 : this.nextTokenInMs(bucket) };
+    }
+
+    /** Grants tokens of the reserve to a host that cannot reach any holder, which may be this host. */
+    grantReserve(organisationName: string, wanted: number): TokenGrant {
+        const organisation = this.organisations.get(organisationName);
+        if (!organisation || !(wanted > 0)) {
+            return NOTHING_GRANTED;
+        }
+        return { granted: this.reserve.take(organisation, Math.min(wanted, MAXIMUM_GRANT)), nextTokenInMs: 0 };
+    }
+
+    /** Adds tokens that another host granted after the search for them had ended. */
+    receiveLate(organisationName: string, tokens: number): void {
+        const organisation = this.organisations.get(organisationName);
+        if (organisation) {
+            this.receive(organisation, tokens);
+        }
     }
 
     /** Adds tokens that another host granted. */
@@ -155,20 +187,27 @@
         bucket.tokens += tokens;
     }
 
-    /** Time in ms until this host generates the next token; infinite when it generates none. */
-    timeToNextTokenMs(organisation: Organisation): number {
+    /**
+     * Time until a further request is likely to find a token at this host; infinite if it generates none. If demand
+     * exceeds the rate, the next tokens are taken by others, so the time grows with the excess.
+     */
+    expectedWaitMs(organisation: Organisation): number {
         const bucket = this.bucketOf(organisation);
         this.refill(bucket);
-        const missing = Math.max(0, 1 - bucket.tokens);
-        return bucket.ratePerSecond > 0 ? missing / bucket.ratePerSecond * SECOND_MS : Infinity;
+        this.decayDemand(bucket);
+        return this.nextTokenInMs(bucket);
     }
 
-    /** Ratio of the demand at this host to the rate at which it generates tokens; at least 1. */
-    demandRatio(organisation: Organisation): number {
-        const bucket = this.bucketOf(organisation);
-        this.refill(bucket);
-        this.decayDemand(bucket);
-        return bucket.ratePerSecond > 0 ? Math.max(1, bucket.demandPerSecond / bucket.ratePerSecond) : 1;
+    private nextTokenInMs(bucket: Bucket): number {
+        if (bucket.ratePerSecond <= 0) {
+            return Infinity;
+        }
+        const missingMs = (1 - bucket.tokens) / bucket.ratePerSecond * SECOND_MS;
+        if (missingMs <= 0) {
+            return 0;
+        }
+        const demandRatio = (bucket.demandPerSecond + bucket.askedPerSecond) / bucket.ratePerSecond;
+        return Math.max(MINIMUM_WAIT_MS, missingMs) * Math.max(1, demandRatio);
     }
 
     private bucketOf(organisation: Organisation): Bucket {
@@ -184,6 +223,7 @@
                 fraction: 0,
                 ratePerSecond: 0,
                 demandPerSecond: 0,
+                askedPerSecond: 0,
                 demandUpdatedAtMs: this.clock.nowMs(),
             };
             this.setShare(organisation, bucket);
@@ -221,7 +261,9 @@
 
     private decayDemand(bucket: Bucket): void {
         const nowMs = this.clock.nowMs();
-        bucket.demandPerSecond *= decayFactor(nowMs - bucket.demandUpdatedAtMs, DEMAND_HALF_LIFE_MS);
+        const factor = decayFactor(nowMs - bucket.demandUpdatedAtMs, DEMAND_HALF_LIFE_MS);
+        bucket.demandPerSecond *= factor;
+        bucket.askedPerSecond *= factor;
         bucket.demandUpdatedAtMs = nowMs;
     }
 }
--- a/packages/mesh/src/test/example-values.ts
+++ b/packages/mesh/src/test/example-values.ts
@@ -1,7 +1,7 @@
 /**
  * Example values for tests of the mesh, with defaults that each test can change.
  */
-import type { GateRequest, KnownServer, MeshConfiguration, Organisation, Route } from "../index.js";
+import type { FleetHost, GateRequest, KnownServer, MeshConfiguration, Organisation, Route } from "../index.js";
 
 export function createRoute(changes: Partial<Route> = {}): Route {
     return {
@@ -59,3 +59,8 @@
         ...changes,
     };
 }
+
+/** Host of a fleet that has one failure domain. */
+export function toFleetHost(address: string): FleetHost {
+    return { address, failureDomain: "a" };
+}
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -3,7 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { OrganisationQuota, TokenBroker } from "../index.js";
-import { createOrganisation } from "./example-values.js";
+import { createOrganisation, toFleetHost } from "./example-values.js";
 
 interface SimulatedHost {
     readonly address: string;
@@ -21,14 +21,17 @@
     const addresses = Array.from({ length: count }, (_, index) => `10.0.0.${index + 1}`);
     const hosts = new Map<string, SimulatedHost>();
     for (const address of addresses) {
-        const quota = OrganisationQuota.create(clock, address, () => addresses, 1_000);
+        const quota = OrganisationQuota.create(clock, address, () => addresses.map(toFleetHost), 1_000);
         quota.setOrganisations([organisation]);
         const broker = TokenBroker.create({
             clock,
             quota,
             localAddress: address,
             isReachable: other => !isPartitioned(address, other),
-            requestTokens: async (other, name, wanted) => hosts.get(other)!.quota.grant(name, wanted),
+            requestTokens: async (other, { organisation: name, wanted, isReserve }) => {
+                const { quota: otherQuota } = hosts.get(other)!;
+                return isReserve ? otherQuota.grantReserve(name, wanted) : otherQuota.grant(name, wanted);
+            },
             random: () => 0.5,
         });
         hosts.set(address, { address, quota, broker });
@@ -105,7 +108,7 @@
 test("a process starts without the tokens of the process before it", async () => {
     const clock = ManualClock.create();
     const organisation = createOrganisation();
-    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1"], 1_000);
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1"].map(toFleetHost), 1_000);
     quota.setOrganisations([organisation]);
     assert.equal(quota.tryTake(organisation), false);
     clock.advance(20);
@@ -115,17 +118,17 @@
 test("a host does not grant tokens that its local callers need", () => {
     const clock = ManualClock.create();
     const organisation = createOrganisation({ ratePerSecond: 20, burst: 20 });
-    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1", "10.0.0.2"], 1_000);
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1", "10.0.0.2"].map(toFleetHost), 1_000);
     quota.setOrganisations([organisation]);
     quota.tryTake(organisation);
     clock.advance(1_000);
     for (let request = 0; request < 20; request++) {
         quota.recordDemand(organisation);
     }
-    const granted = quota.grant("archive", 64);
+    const { granted } = quota.grant("archive", 64);
     assert.ok(granted > 0 && granted <= 6, `${granted} of 10 tokens with a demand of about 20 a second`);
-    assert.equal(quota.grant("unknown", 5), 0);
-    assert.equal(quota.grant("archive", Number.NaN), 0);
+    assert.equal(quota.grant("unknown", 5).granted, 0);
+    assert.equal(quota.grant("archive", Number.NaN).granted, 0);
 });
 
 test("an organisation without a rate is not limited", async () => {
--- a/packages/mesh/src/test/peer-server.test.ts
+++ b/packages/mesh/src/test/peer-server.test.ts
@@ -13,6 +13,7 @@
 } from "../index.js";
 import type { ForwardedRequest, LinkMessage } from "../index.js";
 import { LifeCycle } from "../process/life-cycle.js";
+import { toFleetHost } from "./example-values.js";
 import { ServerRig, waitUntil } from "./server-rig.js";
 
 const REQUEST_DELAY_MS = 600;
@@ -58,7 +59,7 @@
         gate,
         onwardPressure,
         stateAnswers,
-        quota: OrganisationQuota.create(clock, "127.0.0.1", () => ["127.0.0.1"], 2_000),
+        quota: OrganisationQuota.create(clock, "127.0.0.1", () => ["127.0.0.1"].map(toFleetHost), 2_000),
         lifeCycle: LifeCycle.create(),
         log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
     });
--- a/packages/mesh/src/test/phased-limit.test.ts
+++ b/packages/mesh/src/test/phased-limit.test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { OrganisationQuota, PhasedLimit } from "../index.js";
-import { createOrganisation } from "./example-values.js";
+import { createOrganisation, toFleetHost } from "./example-values.js";
 
 const RAMP_DOWN_MS = 5_000;
 const HOSTS = ["10.0.0.1", "10.0.0.2"];
@@ -41,7 +41,7 @@
     const clock = ManualClock.create();
     const before = createOrganisation({ ratePerSecond: 200, burst: 20 });
     const after = createOrganisation({ ratePerSecond: 100, burst: 20 });
-    const quota = OrganisationQuota.create(clock, HOSTS[0]!, () => HOSTS, RAMP_DOWN_MS);
+    const quota = OrganisationQuota.create(clock, HOSTS[0]!, () => HOSTS.map(toFleetHost), RAMP_DOWN_MS);
     quota.setOrganisations([before]);
     assert.ok(servedInSecond(quota, clock, before) >= 99);
     quota.setOrganisations([after]);
@@ -53,9 +53,9 @@
 
 test("a share that shrinks because hosts joined takes effect at once", () => {
     const clock = ManualClock.create();
-    const organisation = createOrganisation({ ratePerSecond: 100, burst: 10 });
+    const organisation = createOrganisation({ ratePerSecond: 100, burst: 20 });
     let hosts = HOSTS.slice(0, 1);
-    const quota = OrganisationQuota.create(clock, HOSTS[0]!, () => hosts, RAMP_DOWN_MS);
+    const quota = OrganisationQuota.create(clock, HOSTS[0]!, () => hosts.map(toFleetHost), RAMP_DOWN_MS);
     quota.setOrganisations([organisation]);
     servedInSecond(quota, clock, organisation);
     hosts = HOSTS;
--- a/packages/mesh/src/test/request-admission.test.ts
+++ b/packages/mesh/src/test/request-admission.test.ts
@@ -12,7 +12,7 @@
     WeightedRoundRobin,
 } from "../index.js";
 import type { AdmittedRequest, MeshConfiguration } from "../index.js";
-import { createConfiguration, createOrganisation, createRoute } from "./example-values.js";
+import { createConfiguration, createOrganisation, createRoute, toFleetHost } from "./example-values.js";
 
 const HOST = "catalogue.example";
 const ADDRESS = "10.0.0.1";
@@ -24,7 +24,7 @@
     const clock = ManualClock.create();
     const lease = ConfigurationLease.create(clock, LEASE_MS, () => 0);
     lease.renew(lease.now());
-    const quota = OrganisationQuota.create(clock, ADDRESS, () => [ADDRESS], 1_000);
+    const quota = OrganisationQuota.create(clock, ADDRESS, () => [ADDRESS].map(toFleetHost), 1_000);
     quota.setOrganisations(configuration?.organisations ?? []);
     clock.advance(1_000);
     lease.renew(lease.now());
@@ -38,7 +38,7 @@
             quota,
             localAddress: ADDRESS,
             isReachable: () => false,
-            requestTokens: () => Promise.resolve(0),
+            requestTokens: () => Promise.resolve(undefined),
         }),
         overloadGuard: ProcessOverloadGuard.create(clock),
         throttle,
