Stop probing peers whose hosts have left the fleet, and probe seldomer the longer it lasts

Each node that had used a host probed it 3 times a second for as long as it ran, also after the host had left for good: on 195 hosts whose servers are replaced that adds up with every replacement.

--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -21,13 +21,19 @@
     readonly health: PeerHealth;
     /** Port on which nodes accept connections from each other. */
     readonly peerPort: number;
+    /** Whether the host at an address belongs to the fleet. */
+    readonly isInFleet: (address: string) => boolean;
     /** Called with the state that the node at an address reported for itself and its backend server. */
     readonly onState: (address: string, state: NodeState) => void;
     /** Called with tokens that a peer granted after the request for them had timed out. */
     readonly onLateTokens: (organisation: string, granted: number) => void;
 }
 
-const PROBE_INTERVAL_MS = 300;
+const INITIAL_PROBE_INTERVAL_MS = 300;
+const MAXIMUM_PROBE_INTERVAL_MS = 1_000;
+const PROBE_INTERVAL_FACTOR = 1.5;
+/** Random reduction of an interval, as a fraction of it. */
+const PROBE_JITTER = 0.3;
 const PROBE_TIMEOUT_MS = 600;
 const TOKENS_TIMEOUT_MS = 120;
 /** Time for an answer about the published state, in addition to the time for which the peer may wait. */
@@ -144,21 +150,29 @@
         void this.probeUntilAlive(address);
     }
 
-    /** Pings a peer, each time on a new connection, until it responds. */
+    /**
+     * Pings a peer, each time on a new connection, until it responds or its host leaves the fleet. The interval grows,
+     * because every node that used the peer probes it.
+     */
     private async probeUntilAlive(address: string): Promise<void> {
         if (this.probing.has(address)) {
             return;
         }
         this.probing.add(address);
-        while (
-            !this.isClosed && this.dependencies.health.troubleOf(address) !== undefined && !await this.isAlive(address)
-        ) {
-            await delay(this.dependencies.clock, PROBE_INTERVAL_MS);
+        let intervalMs = INITIAL_PROBE_INTERVAL_MS;
+        while (this.mustProbe(address) && !await this.isAlive(address)) {
+            await delay(this.dependencies.clock, intervalMs * (1 - Math.random() * PROBE_JITTER));
+            intervalMs = Math.min(MAXIMUM_PROBE_INTERVAL_MS, intervalMs * PROBE_INTERVAL_FACTOR);
         }
         this.probing.delete(address);
         this.dependencies.health.clear(address);
     }
 
+    private mustProbe(address: string): boolean {
+        const { health, isInFleet } = this.dependencies;
+        return !this.isClosed && health.troubleOf(address) !== undefined && isInFleet(address);
+    }
+
     private isAlive(address: string): Promise<boolean> {
         const { clock, peerPort } = this.dependencies;
         return new Promise(resolve => {
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -145,6 +145,7 @@
             clock,
             health: this.health,
             peerPort: settings.peers.port,
+            isInFleet: address => this.directory.hasHost(address),
             onState: (address, { load, onwardPressure }) => this.balancer.report(address, load, onwardPressure),
             onLateTokens: (organisation, granted) => this.quota.receiveLate(organisation, granted),
         });
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -45,6 +45,7 @@
     /** Servers that may receive new requests. */
     readonly byService: ReadonlyMap<string, readonly KnownServer[]>;
     readonly hosts: readonly string[];
+    readonly hostAddresses: ReadonlySet<string>;
     readonly fleetHosts: readonly FleetHost[];
 }
 
@@ -85,6 +86,11 @@
         return this.currentIndex().hosts;
     }
 
+    /** Whether a backend server is listed at a host. */
+    hasHost(address: string): boolean {
+        return this.currentIndex().hostAddresses.has(address);
+    }
+
     /** The hosts with their failure domains; the same array until a server changes. */
     get fleetHosts(): readonly FleetHost[] {
         return this.currentIndex().fleetHosts;
@@ -207,7 +213,12 @@
             byService.set(server.service, list);
         }
     }
-    return { byService, hosts: [...hosts.keys()].sort(), fleetHosts: [...hosts.values()] };
+    return {
+        byService,
+        hosts: [...hosts.keys()].sort(),
+        hostAddresses: new Set(hosts.keys()),
+        fleetHosts: [...hosts.values()],
+    };
 }
 
 function startsAfter(server: KnownServer, other: KnownServer | undefined): boolean {
