Close a connection on which a response to an earlier request arrives

Callers saw: after a server sent a second copy of an answer on a connection in use again, each later request on that connection got the answer of the one before it and failed as unknown (502), until the connection closed.

Cause: the copy was recognised by its id only after the response was complete, when the connection was back in the pool with the real answer still to come. Now the id is compared when the head arrives, and the connection is closed. late-copies.test: red before (the second request 'answered' with the first one's body at the pool, the third with the second's).

--- a/packages/mesh/src/connection/http-exchange.ts
+++ b/packages/mesh/src/connection/http-exchange.ts
@@ -17,6 +17,8 @@
     /** Alternating names and values. */
     readonly headers: string[];
     readonly body: Buffer | undefined;
+    /** Identifies the request in its response; undefined if responses need not name it. */
+    readonly id?: string;
 }
 
 /** Response as it was received, with its complete body. */
@@ -46,6 +48,8 @@
     readonly connectTimeoutMs: number;
     /** Time after which an unused connection is closed. */
     readonly idleTimeoutMs: number;
+    /** Response header, in lower case, that names the request; undefined if responses name none. */
+    readonly idHeader?: string;
 }
 
 const FIRST_FINAL_STATUS = 200;
@@ -80,7 +84,7 @@
     /** Whether a connection of the pool is being reset right now. */
     private isResetting = false;
 
-    private constructor(options: PoolOptions) {
+    private constructor(private readonly options: PoolOptions) {
         this.pool = new Pool(`http://${options.hostAddress}:${options.port}`, {
             connections: options.maximumConnections,
             pipelining: 1,
@@ -98,7 +102,12 @@
 
     /** Starts an exchange; `shouldSend` decides, when the connection is ready, whether the request is sent. */
     start(request: ExchangeRequest, shouldSend: () => boolean = () => true): Exchange {
-        const handler = new ExchangeHandler(this.responseLimits, shouldSend, () => this.isResetting);
+        const handler = new ExchangeHandler({
+            responseLimits: this.responseLimits,
+            shouldSend,
+            isResetting: () => this.isResetting,
+            namesOtherRequest: headers => this.namesOtherRequest(headers, request.id),
+        });
         try {
             this.pool.dispatch(
                 {
@@ -116,6 +125,12 @@
         return { result: handler.result, abort: reason => handler.abort(reason) };
     }
 
+    /** Whether a response is the copy of one to an earlier request on its connection. */
+    private namesOtherRequest(headers: HeaderList, id: string | undefined): boolean {
+        const named = this.options.idHeader === undefined ? undefined : headers.get(this.options.idHeader);
+        return named !== undefined && id !== undefined && named !== id;
+    }
+
     /**
      * Marks a reset, so that it does not complete a response that has no length. Undici reports such a response as
      * complete while the reset is handled; only a regular close of the connection may end it.
@@ -133,6 +148,14 @@
     }
 }
 
+/** What a handler needs to know of its pool and of its request. */
+interface ExchangeContext {
+    readonly responseLimits: ResponseLimits;
+    readonly shouldSend: () => boolean;
+    readonly isResetting: () => boolean;
+    readonly namesOtherRequest: (headers: HeaderList) => boolean;
+}
+
 /** Collects one response. */
 class ExchangeHandler implements Dispatcher.DispatchHandler, IncompleteResponse {
     readonly result: Promise<ExchangeResult>;
@@ -141,14 +164,10 @@
     private abortReason: string | undefined;
     private sent = false;
     private status = 0;
-    private fields: string[] = [];
+    private headers = HeaderList.create([]);
     private readonly body = CollectedBody.create();
 
-    constructor(
-        private readonly responseLimits: ResponseLimits,
-        private readonly shouldSend: () => boolean,
-        private readonly isResetting: () => boolean,
-    ) {
+    constructor(private readonly context: ExchangeContext) {
         this.result = new Promise(settle => {
             this.settle = settle;
         });
@@ -170,7 +189,7 @@
 
     onConnect(abort: (error?: Error) => void): void {
         this.abortRequest = abort;
-        if (!this.shouldSend()) {
+        if (!this.context.shouldSend()) {
             this.abortReason ??= "the request was cancelled before it was sent";
         }
         if (this.abortReason !== undefined) {
@@ -185,28 +204,32 @@
             return true;
         }
         this.status = status;
-        this.fields = rawHeaders.map(field => field.toString("latin1"));
+        this.headers = HeaderList.create(rawHeaders.map(field => field.toString("latin1")));
+        if (this.context.namesOtherRequest(this.headers)) {
+            // The connection is closed: the response that belongs to this request may still come on it.
+            this.abort("the answer names another request");
+        }
         return true;
     }
 
     onData(chunk: Buffer): boolean {
         this.body.add(chunk);
-        this.responseLimits.addBody(this, chunk.length);
+        this.context.responseLimits.addBody(this, chunk.length);
         return true;
     }
 
     onComplete(): void {
-        if (this.isResetting()) {
+        if (this.context.isResetting()) {
             this.onError(new Error("the connection was reset before the end of the answer"));
             return;
         }
-        this.responseLimits.end(this);
-        const response = { status: this.status, headers: HeaderList.create(this.fields), body: this.body.toBuffer() };
+        this.context.responseLimits.end(this);
+        const response = { status: this.status, headers: this.headers, body: this.body.toBuffer() };
         this.settle({ kind: "answered", response });
     }
 
     onError(error: Error): void {
-        this.responseLimits.end(this);
+        this.context.responseLimits.end(this);
         this.body.clear();
         this.settle({ kind: "failed", sent: this.sent, reason: this.abortReason ?? error.message });
     }
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -45,6 +45,7 @@
             maximumConnections: MAXIMUM_CONNECTIONS,
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
             idleTimeoutMs: IDLE_TIMEOUT_MS,
+            idHeader: dependencies.headerNames.attemptId,
         });
         dependencies.gate.setProbing(true);
     }
@@ -128,9 +129,9 @@
         if (attempt.abortReason !== undefined || remainingMs < 1) {
             return { kind: "not-run", reason: "no-time-left", reached: false, retryAfterMs: 0 };
         }
-        const { method, target, body } = request.content;
+        const { method, target, body, id } = request.content;
         attempt.exchange = this.pool.start(
-            { method, path: target, headers: this.createHeaders(request, remainingMs), body },
+            { method, path: target, headers: this.createHeaders(request, remainingMs), body, id },
             () => this.shouldSend(request, attempt),
         );
         const result = await attempt.exchange.result;
