Apply a lowered rate that has no time to decrease at once

A duration of 0 made 0/0 where the clock had not advanced since the change: the limit was NaN, and no request is refused by a bucket of NaN tokens (phased-limit.test red before: NaN instead of 5).

--- a/packages/mesh/src/process/phased-limit.ts
+++ b/packages/mesh/src/process/phased-limit.ts
@@ -41,7 +41,11 @@
 
     /** Limit that applies now. */
     current(): number {
-        const elapsedFraction = Math.min(1, (this.clock.nowMs() - this.changedAtMs) / this.rampDownMs);
+        const elapsedMs = this.clock.nowMs() - this.changedAtMs;
+        if (elapsedMs >= this.rampDownMs) {
+            return this.to;
+        }
+        const elapsedFraction = elapsedMs / this.rampDownMs;
         return this.from + (this.to - this.from) * elapsedFraction;
     }
 }
--- a/packages/mesh/src/test/phased-limit.test.ts
+++ b/packages/mesh/src/test/phased-limit.test.ts
@@ -62,3 +62,22 @@
     quota.updateShares();
     assert.ok(servedInSecond(quota, clock, organisation) <= 61);
 });
+
+test("a limit that decreases without delay applies at once, also when the clock has not advanced", () => {
+    const clock = ManualClock.create();
+    const limit = PhasedLimit.create(clock, 0, 100);
+    limit.change(5);
+    assert.equal(limit.current(), 5);
+    const organisation = createOrganisation({ ratePerSecond: 100, burst: 10 });
+    const hosts = [toFleetHost("10.0.0.1")];
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => hosts, 0);
+    quota.setOrganisations([organisation]);
+    quota.tryTake(organisation);
+    quota.setOrganisations([{ ...organisation, ratePerSecond: 5, burst: 5 }]);
+    let served = 0;
+    for (let request = 0; request < 1_000; request++) {
+        served += quota.tryTake({ ...organisation, ratePerSecond: 5, burst: 5 }) ? 1 : 0;
+        clock.advance(1);
+    }
+    assert.ok(served <= 10, `${served} requests in a second at a rate of 5`);
+});
