Count framing bytes by the connection that a response arrives on

A response that was given up from outside its own input reset the framing count of the connection that was read last, so that another connection could flood a node past its bound as long as requests were cancelled. response-limits.test is red with the reset of before (1 MiB delivered, connection open).

--- a/packages/mesh/src/connection/http-exchange.ts
+++ b/packages/mesh/src/connection/http-exchange.ts
@@ -223,13 +223,13 @@
             this.onError(new Error("the connection was reset before the end of the answer"));
             return;
         }
-        this.context.responseLimits.end(this);
+        this.context.responseLimits.complete(this);
         const response = { status: this.status, headers: this.headers, body: this.body.toBuffer() };
         this.settle({ kind: "answered", response });
     }
 
     onError(error: Error): void {
-        this.context.responseLimits.end(this);
+        this.context.responseLimits.abandon(this);
         this.body.clear();
         this.settle({ kind: "failed", sent: this.sent, reason: this.abortReason ?? error.message });
     }
--- a/packages/mesh/src/connection/response-limits.ts
+++ b/packages/mesh/src/connection/response-limits.ts
@@ -36,7 +36,8 @@
 export class ResponseLimits {
     /** Connection whose input is being delivered to the HTTP parser. */
     private currentConnection: ConnectionCounts | undefined;
-    private readonly answers = new Set<IncompleteResponse>();
+    /** Incomplete responses, with the connections that they arrive on. */
+    private readonly answers = new Map<IncompleteResponse, ConnectionCounts | undefined>();
     private bufferedBytes = 0;
 
     private constructor() {}
@@ -53,10 +54,11 @@
 
     /** Counts a chunk of a response body. */
     addBody(response: IncompleteResponse, bytes: number): void {
-        this.answers.add(response);
+        const connection = this.answers.get(response) ?? this.currentConnection;
+        this.answers.set(response, connection);
         this.bufferedBytes += bytes;
-        if (this.currentConnection) {
-            this.currentConnection.bodyBytes += bytes;
+        if (connection) {
+            connection.bodyBytes += bytes;
         }
         if (response.receivedBytes > MAXIMUM_RESPONSE_BYTES) {
             response.abort("the answer is larger than this node holds");
@@ -66,15 +68,21 @@
         }
     }
 
-    /** Stops counting a response that is complete or aborted. */
-    end(response: IncompleteResponse): void {
+    /** Stops counting a response that is complete; its connection may carry another one. */
+    complete(response: IncompleteResponse): void {
+        const connection = this.answers.get(response) ?? this.currentConnection;
+        this.abandon(response);
+        if (connection) {
+            connection.lastResponseEndBytes = connection.deliveredBytes;
+            connection.bodyBytes = 0;
+        }
+    }
+
+    /** Stops counting a response that was aborted or lost with its connection. */
+    abandon(response: IncompleteResponse): void {
         if (this.answers.delete(response)) {
             this.bufferedBytes -= response.receivedBytes;
         }
-        if (this.currentConnection) {
-            this.currentConnection.lastResponseEndBytes = this.currentConnection.deliveredBytes;
-            this.currentConnection.bodyBytes = 0;
-        }
     }
 
     /** Closes a connection that has sent too many bytes outside response bodies. */
@@ -90,6 +98,6 @@
     }
 
     private largestResponse(): IncompleteResponse | undefined {
-        return [...this.answers].sort((left, right) => right.receivedBytes - left.receivedBytes)[0];
+        return [...this.answers.keys()].sort((left, right) => right.receivedBytes - left.receivedBytes)[0];
     }
 }
