Keep what is known of a host while another instance is listed there

An instance that left cleared the attempts in flight and the load of the one that had taken over its address, so the new one looked empty.

--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -376,7 +376,7 @@
     private onServerChange(change: DirectoryChange): void {
         const { server, kind, cause } = change;
         this.log.event(`server-${kind}`, { instance: server.instance, service: server.service, cause });
-        if (kind === "left") {
+        if (kind === "left" && !this.directory.hasHost(server.hostAddress)) {
             this.balancer.remove(server.hostAddress);
         }
         if (kind === "left" || kind === "joined") {
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -44,7 +44,6 @@
 interface DirectoryIndex {
     /** Servers that may receive new requests. */
     readonly byService: ReadonlyMap<string, readonly KnownServer[]>;
-    readonly hosts: readonly string[];
     readonly hostAddresses: ReadonlySet<string>;
     readonly fleetHosts: readonly FleetHost[];
 }
@@ -81,11 +80,6 @@
         return this.isLoaded;
     }
 
-    /** Addresses of the hosts with a listed backend server, including those that are draining. */
-    get hosts(): readonly string[] {
-        return this.currentIndex().hosts;
-    }
-
     /** Whether a backend server is listed at a host. */
     hasHost(address: string): boolean {
         return this.currentIndex().hostAddresses.has(address);
@@ -215,7 +209,6 @@
     }
     return {
         byService,
-        hosts: [...hosts.keys()].sort(),
         hostAddresses: new Set(hosts.keys()),
         fleetHosts: [...hosts.values()],
     };
