--- a/packages/core/src/process/backlog-monitor.ts
+++ b/packages/core/src/process/backlog-monitor.ts
@@ -8,7 +8,7 @@
  */
 import Emittery from "emittery";
 import type { Clock, Timer } from "./clock.js";
-import { setRepeatingTimer } from "./clock.js";
+import { setAlignedTimer } from "./clock.js";
 
 /** A backlog that was detected. */
 export interface Backlog {
@@ -25,8 +25,10 @@
     readonly afterPollPhase: (callback: () => void) => void;
 }
 
-const TICK_MS = 20;
-/** Shortest time for which the event loop was blocked, or accepted connections, that counts as a backlog. */
+const TICK_MS = 50;
+/** Shortest time since the last tick from which the event loop counts as blocked. */
+const MINIMUM_GAP_MS = 120;
+/** Shortest time over which connections were accepted that counts as a backlog. */
 const MINIMUM_BACKLOG_MS = 100;
 
 const systemOptions: BacklogMonitorOptions = {
@@ -52,7 +54,7 @@
     private constructor(private readonly clock: Clock, private readonly options: BacklogMonitorOptions) {
         this.lastTickMs = clock.nowMs();
         this.lastTickWallMs = options.wallClock();
-        this.timer = setRepeatingTimer(clock, TICK_MS, () => this.tick());
+        this.timer = setAlignedTimer(clock, TICK_MS, () => this.tick());
     }
 
     static create(clock: Clock, options: Partial<BacklogMonitorOptions> = {}): BacklogMonitor {
@@ -135,7 +137,7 @@
     private detectBacklog(): void {
         const nowMs = this.clock.nowMs();
         const gapMs = Math.max(nowMs - this.lastTickMs, this.options.wallClock() - this.lastTickWallMs);
-        if (gapMs < TICK_MS + MINIMUM_BACKLOG_MS) {
+        if (gapMs < MINIMUM_GAP_MS) {
             return;
         }
         const sinceMs = nowMs - gapMs;
--- a/packages/core/src/process/clock.ts
+++ b/packages/core/src/process/clock.ts
@@ -92,14 +92,37 @@
     }
 }
 
+/** Grid on which periodic timers fall due. */
+const TIMER_GRID_MS = 50;
+
+/**
+ * Delay of a timer that falls due on a common grid, at least `intervalMs` from now. Periodic timers of a process that
+ * fall due together wake it up once.
+ */
+export function alignedDelayMs(clock: Clock, intervalMs: number): number {
+    const nowMs = clock.nowMs();
+    return Math.ceil((nowMs + intervalMs) / TIMER_GRID_MS) * TIMER_GRID_MS - nowMs;
+}
+
 /** Calls back at a fixed interval until cancelled. */
 export function setRepeatingTimer(clock: Clock, intervalMs: number, callback: () => void): Timer {
-    let timer = clock.setTimer(intervalMs, tick);
+    return repeat(clock, () => intervalMs, callback);
+}
+
+/** Calls back at about an interval until cancelled, on the common grid of {@link alignedDelayMs}. */
+export function setAlignedTimer(clock: Clock, intervalMs: number, callback: () => void): Timer {
+    // A timer that fires a little late must not skip a point of the grid.
+    const minimumMs = intervalMs - TIMER_GRID_MS / 2;
+    return repeat(clock, () => alignedDelayMs(clock, minimumMs), callback);
+}
+
+function repeat(clock: Clock, nextDelayMs: () => number, callback: () => void): Timer {
+    let timer = clock.setTimer(nextDelayMs(), tick);
     let cancelled = false;
     function tick(): void {
         callback();
         if (!cancelled) {
-            timer = clock.setTimer(intervalMs, tick);
+            timer = clock.setTimer(nextDelayMs(), tick);
         }
     }
     return {
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -5,6 +5,7 @@
  * A link is open once the peer's process has replied on it, and calls are sent only on an open link. The peer's host
  * may accept a connection long before the peer's process reads it, and a call that was not sent has certainly not run.
  */
+import { alignedDelayMs } from "@radishrouter/core";
 import type { Clock, Timer } from "@radishrouter/core";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
@@ -295,8 +296,10 @@
     }
 
     private schedulePing(): void {
-        const dueAtMs = this.options.clock.nowMs() + PING_INTERVAL_MS;
-        this.pingTimer = this.options.clock.setTimer(PING_INTERVAL_MS, () => this.onPingTimer(dueAtMs));
+        const { clock } = this.options;
+        const delayMs = alignedDelayMs(clock, PING_INTERVAL_MS);
+        const dueAtMs = clock.nowMs() + delayMs;
+        this.pingTimer = clock.setTimer(delayMs, () => this.onPingTimer(dueAtMs));
     }
 
     private onPingTimer(dueAtMs: number): void {
--- a/packages/mesh/src/process/process-overload-guard.ts
+++ b/packages/mesh/src/process/process-overload-guard.ts
@@ -5,16 +5,16 @@
  * response, including those of requests in flight. The lag of the process's timers shows how much work waits.
  */
 import type { Clock } from "@radishrouter/core";
-import { setRepeatingTimer } from "@radishrouter/core";
+import { alignedDelayMs } from "@radishrouter/core";
 
 /** Whether a new request is admitted. */
 export type GuardDecision =
     | { readonly kind: "admitted"; }
     | { readonly kind: "refused"; readonly lagMs: number; readonly retryAfterMs: number; };
 
-const TICK_MS = 20;
+const TICK_MS = 50;
 /** Weight of the newest timer delay in the moving average. */
-const SMOOTHING_FACTOR = 0.3;
+const SMOOTHING_FACTOR = 0.6;
 /** Longest lag at which requests of each priority are still admitted, the most important first. */
 const LAG_LIMITS_MS = [240, 120, 60] as const;
 const MINIMUM_RETRY_AFTER_MS = 300;
@@ -24,11 +24,10 @@
 /** Measures the lag of the process's timers and admits new requests depending on it. */
 export class ProcessOverloadGuard {
     private lagMs = 0;
-    private expectedAtMs: number;
+    private expectedAtMs = 0;
 
     private constructor(private readonly clock: Clock, private readonly random: () => number) {
-        this.expectedAtMs = clock.nowMs() + TICK_MS;
-        setRepeatingTimer(clock, TICK_MS, () => this.tick());
+        this.scheduleTick();
     }
 
     static create(clock: Clock, random: () => number = Math.random): ProcessOverloadGuard {
@@ -45,10 +44,15 @@
         return { kind: "refused", lagMs: this.lagMs, retryAfterMs };
     }
 
+    private scheduleTick(): void {
+        const delayMs = alignedDelayMs(this.clock, TICK_MS / 2);
+        this.expectedAtMs = this.clock.nowMs() + delayMs;
+        this.clock.setTimer(delayMs, () => this.tick());
+    }
+
     private tick(): void {
-        const nowMs = this.clock.nowMs();
-        const timerDelayMs = Math.max(0, nowMs - this.expectedAtMs);
+        const timerDelayMs = Math.max(0, this.clock.nowMs() - this.expectedAtMs);
         this.lagMs += (timerDelayMs - this.lagMs) * SMOOTHING_FACTOR;
-        this.expectedAtMs = nowMs + TICK_MS;
+        this.scheduleTick();
     }
 }
--- a/packages/mesh/src/test/version.test.ts
+++ b/packages/mesh/src/test/version.test.ts
@@ -53,6 +53,15 @@
     assert.equal(withdrawn.findOrganisationByKey("secret"), undefined);
 });
 
+test("keys are looked up rightly however many callers try, each time they try", () => {
+    const organisation = createOrganisation({ keyHashes: [hashAccessKey("secret")] });
+    const version = IndexedConfiguration.create(createConfiguration({ organisations: [organisation] }));
+    for (let attempt = 0; attempt < 5_000; attempt++) {
+        assert.equal(version.findOrganisationByKey(`guess-${attempt % 3_000}`), undefined);
+        assert.equal(version.findOrganisationByKey("secret"), organisation);
+    }
+});
+
 test("the lease starts when the query was sent", () => {
     const clock = ManualClock.create();
     const lease = ConfigurationLease.create(clock, LEASE_MS, () => clock.nowMs());
