Hand on when the platform failed, not that it is unstable

Now the time of the failure is handed on, and a missing entry counts until 2.5 s after the outage in place of 2.5 s after it was noticed. state-follower.test 'an outage counts from when it was' is red with the old rule.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -50,8 +50,11 @@
     readonly proofAgeMs: number;
     /** Time from receiving the question until this reply. */
     readonly heldMs: number;
-    /** Whether the platform has answered without failures for a while, so that missing entries have really left. */
-    readonly isPlatformStable: boolean;
+    /**
+     * Time since the platform last failed to answer, as far as is known; infinite if it never did. Entries that are
+     * missing soon after a failure may belong to servers that still run.
+     */
+    readonly platformFailureAgeMs: number;
     /** Highest configuration version that is known to have been in force; undefined if none is. */
     readonly configurationVersion: number | undefined;
 }
--- a/packages/mesh/src/connection/state-answers.ts
+++ b/packages/mesh/src/connection/state-answers.ts
@@ -11,7 +11,8 @@
     readonly clock: Clock;
     readonly state: PublishedState;
     readonly lease: ConfigurationLease;
-    readonly isPlatformStable: () => boolean;
+    /** Time since the platform last failed to answer. */
+    readonly platformFailureAgeMs: () => number;
     /** Highest configuration version that is known to have been in force. */
     readonly knownConfigurationVersion: () => number | undefined;
 }
@@ -45,13 +46,13 @@
     }
 
     private report(position: StatePosition | undefined, receivedAtMs: number): StateReport {
-        const { clock, state, lease, isPlatformStable, knownConfigurationVersion } = this.dependencies;
+        const { clock, state, lease, platformFailureAgeMs, knownConfigurationVersion } = this.dependencies;
         return {
             position: state.position,
             update: state.updateSince(position),
             proofAgeMs: lease.ageMs(),
             heldMs: clock.nowMs() - receivedAtMs,
-            isPlatformStable: isPlatformStable(),
+            platformFailureAgeMs: platformFailureAgeMs(),
             configurationVersion: knownConfigurationVersion(),
         };
     }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -317,7 +317,7 @@
             clock,
             state,
             lease,
-            isPlatformStable: () => this.follower?.isPlatformStable() ?? false,
+            platformFailureAgeMs: () => this.follower?.platformFailureAgeMs() ?? 0,
             knownConfigurationVersion: () => this.follower?.knownConfigurationVersion,
         });
         return PeerServer.create({
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -54,8 +54,6 @@
     readonly sequence: number;
 }
 
-/** Time in which entries that lapsed during an outage of the platform may come back. */
-const LAPSED_ENTRY_GRACE_MS = 2_500;
 /** Servers that have left and are remembered, the last ones. */
 const MAXIMUM_DEPARTED = 1_024;
 
@@ -133,22 +131,22 @@
     }
 
     /**
-     * Removes an entry that disappeared from the platform. If the platform was disturbed recently, a lapsed entry does
-     * not prove that the server has left, so the server stays usable for the time in which such entries come back.
+     * Removes an entry that disappeared from the platform. After an outage of the platform a lapsed entry does not prove
+     * that the server has left, so the server stays usable for `graceMs`, in which such entries come back.
      */
-    remove(instance: string, isPlatformHealthy: boolean, cause: string): void {
+    remove(instance: string, graceMs: number, cause: string): void {
         const server = this.servers.get(instance);
         if (!server || server.missingSinceMs !== undefined) {
             return;
         }
-        if (isPlatformHealthy || server.state === "draining") {
+        if (graceMs <= 0 || server.state === "draining") {
             this.drop(server, cause);
             return;
         }
         this.servers.set(instance, { ...server, missingSinceMs: this.clock.nowMs() });
         this.index = undefined;
         void this.events.emit("changed", { kind: "missing", server, cause });
-        this.clock.setTimer(LAPSED_ENTRY_GRACE_MS, () => this.dropIfStillMissing(instance));
+        this.clock.setTimer(graceMs, () => this.dropIfStillMissing(instance));
     }
 
     /** Records that a complete list was read. */
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -52,8 +52,8 @@
 const CHANGE_BATCHING_DELAY_MS = 200;
 /** Longest random delay before everything is read again, so that nodes do not read together. */
 const READ_AGAIN_JITTER_MS = 100;
-/** Time without a failure after which the platform counts as stable again. */
-const PLATFORM_RECOVERY_MS = 3_000;
+/** Time after an outage of the platform within which entries that lapsed during it have come back. */
+const LAPSED_ENTRY_RETURN_MS = 2_500;
 /** Peers that a node asks at its start whether a newer configuration was in force before. */
 const MAXIMUM_FIRST_QUESTIONS = 3;
 
@@ -114,9 +114,17 @@
         this.closed = true;
     }
 
-    /** Whether missing entries have really left: during an outage, entries of running servers may be removed. */
-    isPlatformStable(): boolean {
-        return this.dependencies.clock.nowMs() - this.lastUnstableAtMs > PLATFORM_RECOVERY_MS;
+    /** Time since the platform last failed to answer this node, or another one that handed that on. */
+    platformFailureAgeMs(): number {
+        return this.dependencies.clock.nowMs() - this.lastUnstableAtMs;
+    }
+
+    /**
+     * Time for which a server stays usable whose entry is missing: during an outage, entries of running servers lapse,
+     * and they come back soon after it.
+     */
+    private lapsedEntryGraceMs(): number {
+        return Math.max(0, LAPSED_ENTRY_RETURN_MS - this.platformFailureAgeMs());
     }
 
     /** Highest configuration version that is known to have been in force; undefined if none is. */
@@ -198,9 +206,8 @@
     ): void {
         const { state } = this.dependencies;
         this.reportedVersion = Math.max(this.reportedVersion, report.configurationVersion ?? -Infinity);
-        if (!report.isPlatformStable) {
-            this.lastUnstableAtMs = this.dependencies.clock.nowMs();
-        }
+        const failedAtMs = this.dependencies.clock.nowMs() - Math.max(0, report.platformFailureAgeMs);
+        this.lastUnstableAtMs = Math.max(this.lastUnstableAtMs, failedAtMs);
         if (report.update) {
             this.apply(report.update, state.apply(report.update), position);
         }
@@ -323,7 +330,7 @@
         try {
             const server = item.value && decoder.decodeServer(instance, item.value);
             if (!server) {
-                directory.remove(instance, this.isPlatformStable(), cause);
+                directory.remove(instance, this.lapsedEntryGraceMs(), cause);
             }
             else if (!isOlderCopy || !directory.isOutdated(server)) {
                 directory.upsert(server, cause);
@@ -331,7 +338,7 @@
         }
         catch (error) {
             log.problem("server-entry-refused", { key: item.key, revision: item.revision, problem: String(error) });
-            directory.remove(instance, this.isPlatformStable(), cause);
+            directory.remove(instance, this.lapsedEntryGraceMs(), cause);
         }
     }
 
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -6,15 +6,17 @@
 import { createServer } from "./example-values.js";
 
 /** Adds the servers of a complete list and removes the others. */
-function applyList(directory: ServerDirectory, servers: readonly BackendServer[], isPlatformHealthy: boolean): void {
+function applyList(directory: ServerDirectory, servers: readonly BackendServer[], graceMs: number): void {
     const listed = new Set(servers.map(server => server.instance));
     const left = [...directory.all()].filter(server => !listed.has(server.instance));
-    left.forEach(server => directory.remove(server.instance, isPlatformHealthy, "test"));
+    left.forEach(server => directory.remove(server.instance, graceMs, "test"));
     servers.forEach(server => directory.upsert(server, "test"));
 }
 
-const PLATFORM_HEALTHY = true;
-const PLATFORM_DISTURBED = false;
+/** Grace for missing entries while the platform answers. */
+const PLATFORM_HEALTHY = 0;
+/** Grace for missing entries after an outage of the platform. */
+const PLATFORM_DISTURBED = 2_500;
 
 test("a draining server gets no new requests", () => {
     const directory = ServerDirectory.create(ManualClock.create());
--- a/packages/mesh/src/test/peer-server.test.ts
+++ b/packages/mesh/src/test/peer-server.test.ts
@@ -49,7 +49,7 @@
         clock,
         state: PublishedState.create(),
         lease: ConfigurationLease.create(clock, undefined),
-        isPlatformStable: () => true,
+        platformFailureAgeMs: () => Infinity,
         knownConfigurationVersion: () => undefined,
     });
     peerServer = PeerServer.create({
--- /dev/null
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -0,0 +1,158 @@
+import { ManualClock } from "@radishrouter/core";
+import assert from "node:assert/strict";
+import { beforeEach, test } from "node:test";
+import {
+    ConfigurationLease,
+    PublishedState,
+    RequestLog,
+    ServerDirectory,
+    StateFollower,
+    UpdateSourceSelector,
+} from "../index.js";
+import type { PublishedItem, StateReport, StateUpdate } from "../index.js";
+import { createServer } from "./example-values.js";
+
+const LEASE_MS = 5_000;
+const PARENT = "10.0.0.2";
+const SERVER_KEY = "server";
+
+let clock: ManualClock;
+let directory: ServerDirectory;
+let lease: ConfigurationLease;
+let follower: StateFollower;
+/** Answers the question that is pending at the parent. */
+let answerPeer: ((report: StateReport | undefined) => void) | undefined;
+/** Answers the question that is pending at the platform. */
+let answerPlatform: ((update: StateUpdate) => void) | undefined;
+
+beforeEach(() => {
+    clock = ManualClock.create(100_000);
+    directory = ServerDirectory.create(clock);
+    lease = ConfigurationLease.create(clock, LEASE_MS, () => clock.nowMs());
+    answerPeer = undefined;
+    answerPlatform = undefined;
+    const askPlatform = () =>
+        new Promise<StateUpdate>(resolve => {
+            answerPlatform = resolve;
+        });
+    follower = StateFollower.create({
+        clock,
+        reader: { readAll: askPlatform, watch: askPlatform },
+        decoder: {
+            kindOf: key => key === SERVER_KEY ? { kind: "server", instance: "one" } : { kind: "other" },
+            decodeConfiguration: () => assert.fail("no configuration is published"),
+            decodeServer: () => createServer("one"),
+        },
+        selector: UpdateSourceSelector.create(clock, {
+            plan: () => ({ ancestors: [PARENT], helpers: [] }),
+            isReachable: () => true,
+        }),
+        state: PublishedState.create(),
+        lease,
+        directory,
+        log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
+        askPeer: () =>
+            new Promise(resolve => {
+                answerPeer = resolve;
+            }),
+        applyConfiguration: () => false,
+        activeConfigurationVersion: () => undefined,
+    });
+    void follower.run();
+});
+
+async function settle(): Promise<void> {
+    for (let count = 0; count < 20; count++) {
+        await Promise.resolve();
+    }
+}
+
+function createReport(changes: Partial<StateReport> = {}): StateReport {
+    return {
+        position: { era: 1, revision: 10 },
+        update: undefined,
+        proofAgeMs: 100,
+        heldMs: 0,
+        platformFailureAgeMs: Infinity,
+        configurationVersion: undefined,
+        ...changes,
+    };
+}
+
+function changesAt(revision: number, items: readonly PublishedItem[]): StateUpdate {
+    return { kind: "changes", position: { era: 1, revision }, items };
+}
+
+async function start(): Promise<void> {
+    const value = Buffer.from("entry");
+    answerPlatform!({
+        kind: "snapshot",
+        position: { era: 1, revision: 10 },
+        items: [{ key: SERVER_KEY, revision: 5, value }],
+    });
+    await settle();
+}
+
+async function replyFromParent(changes: Partial<StateReport> = {}): Promise<void> {
+    answerPeer!(createReport(changes));
+    await settle();
+}
+
+test("the lease counts from the proof that the parent hands on", async () => {
+    await start();
+    await replyFromParent({ proofAgeMs: 700 });
+    assert.equal(lease.ageMs(), 700);
+    clock.advance(500);
+    await replyFromParent({ proofAgeMs: 300, heldMs: 400 });
+    assert.equal(lease.ageMs(), 400, "100 ms of the way are not known to have passed before the proof was handed on");
+});
+
+test("a parent cannot hand on a proof of the future", async () => {
+    await start();
+    clock.advance(50);
+    await replyFromParent({ proofAgeMs: -4_000, heldMs: 60_000 });
+    assert.equal(lease.ageMs(), 0);
+    clock.advance(50);
+    await replyFromParent({ proofAgeMs: Number.NaN });
+    assert.equal(lease.ageMs(), 50);
+});
+
+test("a malformed reply of a peer changes nothing, and the node goes on", async () => {
+    await start();
+    answerPeer!({ ...createReport(), update: { kind: "changes", items: 5 } } as unknown as StateReport);
+    await settle();
+    answerPlatform!(changesAt(11, []));
+    await settle();
+    assert.equal(directory.readyServers("catalogue").length, 1);
+    assert.equal(lease.ageMs(), 0, "the platform was asked next");
+});
+
+test("an entry that is missing soon after an outage stays usable, through however many nodes that was learned", async () => {
+    await start();
+    await replyFromParent({ platformFailureAgeMs: 1_400 });
+    clock.advance(900);
+    const removal: PublishedItem = { key: SERVER_KEY, revision: 11, value: undefined };
+    await replyFromParent({
+        platformFailureAgeMs: 2_300,
+        position: { era: 1, revision: 11 },
+        update: changesAt(11, [removal]),
+    });
+    assert.equal(directory.readyServers("catalogue").length, 1);
+    clock.advance(201);
+    assert.equal(directory.readyServers("catalogue").length, 0, "2.5 s after the outage it has not come back");
+});
+
+test("an outage counts from when it was, not from when its parent reported it", async () => {
+    await start();
+    await replyFromParent({ platformFailureAgeMs: 2_500 });
+    clock.advance(400);
+    await replyFromParent({ platformFailureAgeMs: 2_900 });
+    clock.advance(400);
+    const removal: PublishedItem = { key: SERVER_KEY, revision: 11, value: undefined };
+    await replyFromParent({
+        platformFailureAgeMs: 3_300,
+        position: { era: 1, revision: 11 },
+        update: changesAt(11, [removal]),
+    });
+    assert.equal(directory.readyServers("catalogue").length, 0, "a server that left is not used any more");
+});
