Send callers far above their rate back by what the holder last expected, not by 150 ms

Cause: the time at which the holder expected a token was kept as a point in time, which had passed when the next refusal read it. The wait is kept instead, and grows with empty searches; the rest after one is 150 to 400 ms, so that a burst of 8 does not overflow at its holder.

--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -40,6 +40,12 @@
     readonly end: Promise<void>;
 }
 
+/** Time after which a holder expects to have a token for a further request. */
+interface TokenExpectation {
+    readonly waitMs: number;
+    readonly heardAtMs: number;
+}
+
 /** Time in which no search is started because the last searches found no tokens. */
 interface SearchBackoff {
     readonly untilMs: number;
@@ -51,8 +57,10 @@
  * After a search that found no tokens, the fleet is assumed to have none for this time. The time doubles with each
  * further search that finds none, up to the maximum.
  */
-const MINIMUM_BACKOFF_MS = 250;
-const MAXIMUM_BACKOFF_MS = 1_000;
+const MINIMUM_BACKOFF_MS = 150;
+const MAXIMUM_BACKOFF_MS = 400;
+/** Time for which the expectation of a holder is used. */
+const EXPECTATION_LIFETIME_MS = 3_000;
 const MINIMUM_RETRY_AFTER_MS = 150;
 const MAXIMUM_RETRY_AFTER_MS = 2_000;
 
@@ -60,8 +68,8 @@
 export class TokenBroker {
     private readonly searches = new Map<string, Search>();
     private readonly backoffs = new Map<string, SearchBackoff>();
-    /** Time at which a host that was asked last expected to have a token again; by organisation. */
-    private readonly nextTokenAtMs = new Map<string, number>();
+    /** What the holder that was asked last expected, by organisation. */
+    private readonly expectations = new Map<string, TokenExpectation>();
     /** Index, in the list of reachable token hosts, of the host that the next search begins with; by organisation. */
     private readonly nextHostIndex = new Map<string, number>();
     private readonly random: () => number;
@@ -132,7 +140,7 @@
             answers++;
             quota.receive(organisation, grant.granted);
             received += grant.granted;
-            this.nextTokenAtMs.set(name, clock.nowMs() + grant.nextTokenInMs);
+            this.expectations.set(name, { waitMs: grant.nextTokenInMs, heardAtMs: clock.nowMs() });
             if (received >= waiting) {
                 break;
             }
@@ -201,9 +209,17 @@
      */
     private retryAfterMs(organisation: Organisation): number {
         const { quota, clock } = this.dependencies;
-        const atHoldersMs = (this.nextTokenAtMs.get(organisation.name) ?? Infinity) - clock.nowMs();
-        const waitMs = Math.min(quota.expectedWaitMs(organisation), Math.max(MINIMUM_RETRY_AFTER_MS, atHoldersMs));
+        const expectation = this.expectations.get(organisation.name);
+        // Other callers take the tokens that come meanwhile, so the wait does not shrink as time passes.
+        const isRecent = expectation && clock.nowMs() - expectation.heardAtMs < EXPECTATION_LIFETIME_MS;
+        const atHoldersMs = isRecent ? expectation.waitMs * this.emptySearchFactor(organisation.name) : Infinity;
+        const waitMs = Math.min(quota.expectedWaitMs(organisation), atHoldersMs);
         const minimumMs = Math.min(MAXIMUM_RETRY_AFTER_MS, Math.max(MINIMUM_RETRY_AFTER_MS, waitMs));
         return minimumMs * (1 + this.random());
     }
+
+    /** Grows with each search in a row that found nothing, as holders do not hear of requests that are not searched for. */
+    private emptySearchFactor(name: string): number {
+        return (this.backoffs.get(name)?.durationMs ?? MINIMUM_BACKOFF_MS) / MINIMUM_BACKOFF_MS;
+    }
 }
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -138,23 +138,27 @@
     assert.equal(await tryRequest(host!, organisation), true);
 });
 
+const EXCESS_RATE = 40;
+const EXCESS_DURATION_MS = 20_000;
+
 interface WaitingCaller {
     readonly firstTriedAtMs: number;
     readonly retriesAtMs: number;
 }
 
-test("callers far above the rate retry seldom, and the full rate is still used", async () => {
+/** Plays callers far above the rate that come back when they are told to, each time at the next host. */
+async function playExcess(hostCount: number, burst: number): Promise<{ served: number; refusalsPerRequest: number; }> {
     const clock = ManualClock.create();
-    const organisation = createOrganisation({ ratePerSecond: 40, burst: 40 });
-    const [host] = createFleet(clock, organisation, 1);
+    const organisation = createOrganisation({ ratePerSecond: EXCESS_RATE, burst });
+    const hosts = createFleet(clock, organisation, hostCount);
     const callerTimeoutMs = 6_000;
-    const durationMs = 20_000;
     let callers: WaitingCaller[] = [];
     let requests = 0;
+    let tries = 0;
     let served = 0;
     let refusals = 0;
     const sendRequest = async (firstTriedAtMs: number) => {
-        const decision = await host!.broker.take(organisation);
+        const decision = await hosts[tries++ % hostCount]!.broker.take(organisation);
         const retriesAtMs = clock.nowMs() + (decision.kind === "over" ? decision.retryAfterMs : 0);
         served += decision.kind === "within" ? 1 : 0;
         refusals += decision.kind === "over" ? 1 : 0;
@@ -163,7 +167,7 @@
         }
     };
     const startMs = clock.nowMs();
-    while (clock.nowMs() < startMs + durationMs) {
+    while (clock.nowMs() < startMs + EXCESS_DURATION_MS) {
         const due = callers.filter(caller => caller.retriesAtMs <= clock.nowMs());
         callers = callers.filter(caller => caller.retriesAtMs > clock.nowMs());
         for (const caller of due) {
@@ -173,6 +177,13 @@
         await sendRequest(clock.nowMs());
         clock.advance(5);
     }
-    assert.ok(served >= 0.98 * 40 * durationMs / 1_000, `${served} served`);
-    assert.ok(refusals / requests <= 4, `${refusals} refusals for ${requests} requests`);
-});
+    return { served, refusalsPerRequest: refusals / requests };
+}
+
+for (const [hostCount, burst] of [[1, 40], [13, 40], [13, 8]] as const) {
+    test(`callers far above the rate at ${hostCount} hosts retry seldom, and the full rate is used (burst ${burst})`, async () => {
+        const { served, refusalsPerRequest } = await playExcess(hostCount, burst);
+        assert.ok(served >= 0.98 * EXCESS_RATE * EXCESS_DURATION_MS / 1_000, `${served} served`);
+        assert.ok(refusalsPerRequest <= 4, `${refusalsPerRequest} refusals for each request`);
+    });
+}
