Let a malformed message of a peer cost its connection, not the process

A forwarded request without content, or with headers that are no list, ended in a rejected promise that nobody handles, which ends a node's process with all that it serves; the slot at the gate was lost besides. Now the link is closed and the error logged (peer-message-refused), and the slot is freed whatever happens.

--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -178,20 +178,31 @@
         this.attempts.get(number)?.abort("caller-gone");
     }
 
-    /** Runs a request; its remaining time counts from the time at which it was sent. */
+    /**
+     * Runs a request; its remaining time counts from the time at which it was sent. A request that cannot be run because
+     * it is malformed costs the peer its connection.
+     */
     private async run(arrival: Arrival, request: ForwardedRequest): Promise<void> {
-        const { dependencies } = this;
+        const { lifeCycle, log } = this.dependencies;
         const { number } = arrival;
-        dependencies.lifeCycle.begin();
-        const attempt = this.start(request, arrival.receivedAtMs - arrival.delayMs);
-        this.attempts.set(number, attempt);
-        const { outcome, timing } = await attempt.result;
-        this.attempts.delete(number);
-        if (outcome.kind !== "answered") {
-            this.logFailure(request, arrival, outcome, timing);
+        lifeCycle.begin();
+        try {
+            const attempt = this.start(request, arrival.receivedAtMs - arrival.delayMs);
+            this.attempts.set(number, attempt);
+            const { outcome, timing } = await attempt.result;
+            if (outcome.kind !== "answered") {
+                this.logFailure(request, arrival, outcome, timing);
+            }
+            this.messages.send({ kind: "outcome", number, outcome: toForwardedOutcome(outcome), state: this.state() });
+        }
+        catch (error) {
+            log.problem("peer-message-refused", { peer: this.socket.remoteAddress, problem: String(error) });
+            this.messages.destroy();
+        }
+        finally {
+            this.attempts.delete(number);
+            lifeCycle.end();
         }
-        this.messages.send({ kind: "outcome", number, outcome: toForwardedOutcome(outcome), state: this.state() });
-        dependencies.lifeCycle.end();
     }
 
     private start(request: ForwardedRequest, sentAtMs: number): Attempt {
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -4,7 +4,7 @@
 import type { BacklogMonitor, Clock } from "@radishrouter/core";
 import type { DownstreamPressure } from "../process/downstream-pressure.js";
 import type { LocalInstance } from "../process/local-instance.js";
-import type { GateTicket, ServerGate } from "../process/server-gate.js";
+import type { GateOutcome, GateTicket, ServerGate } from "../process/server-gate.js";
 import type { HeaderNames } from "../request/header-names.js";
 import type { Attempt, AttemptOutcome, AttemptResult, AttemptTiming, UnknownReason } from "../request/outcome.js";
 import type { ServerRequest } from "../request/relayed-request.js";
@@ -103,13 +103,25 @@
         await this.waitForInputBacklog(attempt);
         const startedAtMs = this.dependencies.clock.nowMs();
         attempt.admittedAtMs = startedAtMs;
-        let outcome = await this.sendOnce(request, attempt);
+        let gateOutcome: GateOutcome = { kind: "abandoned" };
+        try {
+            const outcome = await this.sendToCurrentInstance(request, attempt);
+            if (outcome.kind === "answered") {
+                gateOutcome = { kind: "answered", serviceMs: this.dependencies.clock.nowMs() - startedAtMs };
+            }
+            return outcome;
+        }
+        finally {
+            attempt.ticket.end(gateOutcome);
+        }
+    }
+
+    private async sendToCurrentInstance(request: ServerRequest, attempt: ServerAttempt): Promise<AttemptOutcome> {
+        const outcome = await this.sendOnce(request, attempt);
         if (outcome.kind === "not-run" && outcome.reason === "other-instance" && attempt.abortReason === undefined) {
             // The response named the instance that runs now, so the request is sent again to that instance.
-            outcome = await this.sendOnce(request, attempt);
+            return await this.sendOnce(request, attempt);
         }
-        const serviceMs = this.dependencies.clock.nowMs() - startedAtMs;
-        attempt.ticket.end(outcome.kind === "answered" ? { kind: "answered", serviceMs } : { kind: "abandoned" });
         return outcome;
     }
 
--- /dev/null
+++ b/packages/mesh/src/test/peer-server-rig.ts
@@ -0,0 +1,29 @@
+/**
+ * Creates a server for peers in front of the backend server of a {@link ServerRig}.
+ */
+import { PeerServer } from "../connection/peer-server.js";
+import { ConfigurationLease, OrganisationQuota, PublishedState, RequestLog, StateAnswers } from "../index.js";
+import { LifeCycle } from "../process/life-cycle.js";
+import { toFleetHost } from "./example-values.js";
+import type { ServerRig } from "./server-rig.js";
+
+export function createPeerServer({ clock, backlog, client, gate, onwardPressure }: ServerRig): PeerServer {
+    const hosts = [toFleetHost("127.0.0.1")];
+    return PeerServer.create({
+        clock,
+        backlog,
+        server: client,
+        gate,
+        onwardPressure,
+        stateAnswers: StateAnswers.create({
+            clock,
+            state: PublishedState.create(),
+            lease: ConfigurationLease.create(clock, undefined),
+            platformFailureAgeMs: () => Infinity,
+            knownConfigurationVersion: () => undefined,
+        }),
+        quota: OrganisationQuota.create(clock, "127.0.0.1", () => hosts, 2_000),
+        lifeCycle: LifeCycle.create(),
+        log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
+    });
+}
--- a/packages/mesh/src/test/peer-server.test.ts
+++ b/packages/mesh/src/test/peer-server.test.ts
@@ -2,18 +2,10 @@
 import { connect } from "node:net";
 import type { AddressInfo } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
-import { PeerServer } from "../connection/peer-server.js";
-import {
-    ConfigurationLease,
-    MessageSocket,
-    OrganisationQuota,
-    PublishedState,
-    RequestLog,
-    StateAnswers,
-} from "../index.js";
+import type { PeerServer } from "../connection/peer-server.js";
+import { MessageSocket } from "../index.js";
 import type { ForwardedRequest, LinkMessage } from "../index.js";
-import { LifeCycle } from "../process/life-cycle.js";
-import { toFleetHost } from "./example-values.js";
+import { createPeerServer } from "./peer-server-rig.js";
 import { ServerRig, waitUntil } from "./server-rig.js";
 
 const REQUEST_DELAY_MS = 600;
@@ -44,25 +36,7 @@
 
 beforeEach(async () => {
     rig = await ServerRig.create();
-    const { clock, backlog, client, gate, onwardPressure } = rig;
-    const stateAnswers = StateAnswers.create({
-        clock,
-        state: PublishedState.create(),
-        lease: ConfigurationLease.create(clock, undefined),
-        platformFailureAgeMs: () => Infinity,
-        knownConfigurationVersion: () => undefined,
-    });
-    peerServer = PeerServer.create({
-        clock,
-        backlog,
-        server: client,
-        gate,
-        onwardPressure,
-        stateAnswers,
-        quota: OrganisationQuota.create(clock, "127.0.0.1", () => ["127.0.0.1"].map(toFleetHost), 2_000),
-        lifeCycle: LifeCycle.create(),
-        log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
-    });
+    peerServer = createPeerServer(rig);
     await new Promise<void>(resolve => peerServer.listener.listen(0, "127.0.0.1", resolve));
     received = [];
     peer = MessageSocket.create(connect((peerServer.listener.address() as AddressInfo).port, "127.0.0.1"), {
