Use a replaced host at once, and do not take a pause for overload

Callers saw: 503 although a server had just joined at an address, for up to a second; 503 'overloaded' after a pause of a process that was over.

Cause, by the tests: a peer that did not answer stays avoided until a probe succeeds, also when a new process runs at its address; and one late tick of 700 ms raised the guard's mean above its limits (more so with ticks of 50 ms). Now a server that joins or was restarted clears what was seen of its host, and only ticks that are late one after another count.

What is applied from published state is a module of its own.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -22,6 +22,7 @@
 export * from "./process/peer-health.js";
 export * from "./process/phased-limit.js";
 export * from "./process/process-overload-guard.js";
+export * from "./process/published-item-applier.js";
 export * from "./process/published-state-reader.js";
 export * from "./process/quota-holders.js";
 export * from "./process/quota-reserve.js";
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -29,6 +29,7 @@
 import { OrganisationUsageCounters } from "./organisation-usage-counters.js";
 import { PeerHealth } from "./peer-health.js";
 import { ProcessOverloadGuard } from "./process-overload-guard.js";
+import { PublishedItemApplier } from "./published-item-applier.js";
 import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
 import type { QuotaTolerance } from "./quota-reserve.js";
 import { planRelay } from "./relay-tree.js";
@@ -201,7 +202,12 @@
         this.follower = StateFollower.create({
             clock,
             reader,
-            decoder,
+            applier: PublishedItemApplier.create({
+                decoder,
+                directory,
+                log,
+                activateConfiguration: (decoded, cause) => this.activateConfiguration(decoded, cause),
+            }),
             state,
             lease,
             directory,
@@ -211,14 +217,13 @@
                 isReachable: address => this.health.troubleOf(address) === undefined,
             }),
             askPeer: (address, position, waitMs) => peers.askState(address, position, waitMs),
-            applyConfiguration: (decoded, cause) => this.applyConfiguration(decoded, cause),
             activeConfigurationVersion: () => this.configurationVersion,
         });
         await this.follower.run();
     }
 
     /** Activates a configuration if it is newer than the active one; returns whether it is. */
-    private applyConfiguration({ configuration }: DecodedConfiguration, cause: string): boolean {
+    private activateConfiguration({ configuration }: DecodedConfiguration, cause: string): boolean {
         const before = this.version?.configuration.version;
         if (before !== undefined && configuration.version <= before) {
             return false;
@@ -379,6 +384,10 @@
         if (kind === "left" && !this.directory.hasHost(server.hostAddress)) {
             this.balancer.remove(server.hostAddress);
         }
+        if (kind === "joined" || kind === "restarted") {
+            // What was seen of the host before concerns a process that may have been replaced with its server.
+            this.health.clear(server.hostAddress);
+        }
         if (kind === "left" || kind === "joined") {
             this.quota.updateShares();
         }
--- a/packages/mesh/src/process/process-overload-guard.ts
+++ b/packages/mesh/src/process/process-overload-guard.ts
@@ -12,7 +12,10 @@
     | { readonly kind: "admitted"; }
     | { readonly kind: "refused"; readonly lagMs: number; readonly retryAfterMs: number; };
 
-const TICK_MS = 50;
+/** Shortest time between two ticks, which fall on the common grid of periodic timers. */
+const MINIMUM_TICK_MS = 25;
+/** Timers are not exact; a tick that is later than this counts as late. */
+const MAXIMUM_TIMER_DELAY_MS = 10;
 /** Weight of the newest timer delay in the moving average. */
 const SMOOTHING_FACTOR = 0.6;
 /** Longest lag at which requests of each priority are still admitted, the most important first. */
@@ -24,7 +27,9 @@
 /** Measures the lag of the process's timers and admits new requests depending on it. */
 export class ProcessOverloadGuard {
     private lagMs = 0;
-    private expectedAtMs = 0;
+    private lastDelayMs = 0;
+    private scheduledAtMs = 0;
+    private dueAtMs = 0;
 
     private constructor(private readonly clock: Clock, private readonly random: () => number) {
         this.scheduleTick();
@@ -45,14 +50,21 @@
     }
 
     private scheduleTick(): void {
-        const delayMs = alignedDelayMs(this.clock, TICK_MS / 2);
-        this.expectedAtMs = this.clock.nowMs() + delayMs;
+        const delayMs = alignedDelayMs(this.clock, MINIMUM_TICK_MS);
+        this.scheduledAtMs = this.clock.nowMs();
+        this.dueAtMs = this.scheduledAtMs + delayMs;
         this.clock.setTimer(delayMs, () => this.tick());
     }
 
     private tick(): void {
-        const timerDelayMs = Math.max(0, this.clock.nowMs() - this.expectedAtMs);
-        this.lagMs += (timerDelayMs - this.lagMs) * SMOOTHING_FACTOR;
+        const nowMs = this.clock.nowMs();
+        const isLate = nowMs - this.dueAtMs > MAXIMUM_TIMER_DELAY_MS;
+        // While each iteration of the event loop takes longer than a tick, this is how long they take.
+        const delayMs = isLate ? nowMs - this.scheduledAtMs - MINIMUM_TICK_MS : 0;
+        // A single late tick is a pause of the process, which is over; overload makes one tick after another late.
+        const lastingDelayMs = Math.min(delayMs, this.lastDelayMs);
+        this.lastDelayMs = delayMs;
+        this.lagMs += (lastingDelayMs - this.lagMs) * SMOOTHING_FACTOR;
         this.scheduleTick();
     }
 }
--- /dev/null
+++ b/packages/mesh/src/process/published-item-applier.ts
@@ -0,0 +1,95 @@
+/**
+ * Applies published items that have changed to what this node works with: the configuration and the backend servers.
+ */
+import type { PublishedItem } from "../version/published-state.js";
+import type { DecodedConfiguration, PublishedItemDecoder } from "./published-state-reader.js";
+import type { RequestLog } from "./request-log.js";
+import type { ServerDirectory } from "./server-directory.js";
+
+/** Collaborators of an applier. */
+export interface PublishedItemApplierDependencies {
+    readonly decoder: PublishedItemDecoder;
+    readonly directory: ServerDirectory;
+    readonly log: RequestLog;
+    /** Activates a configuration if it is newer than the active one; returns whether it is. */
+    readonly activateConfiguration: (decoded: DecodedConfiguration, cause: string) => boolean;
+}
+
+/** How far the changes that are applied can be relied on. */
+export interface ChangeReliability {
+    /** Whether they come from a copy of the store that is older than what was known before. */
+    readonly isOlderCopy: boolean;
+    /** Time for which a server stays usable whose entry is missing, because entries lapse during an outage. */
+    readonly lapsedEntryGraceMs: number;
+}
+
+/** Decodes and applies changed items; an item that cannot be read is logged and changes nothing else. */
+export class PublishedItemApplier {
+    private lastVersion: number | undefined;
+
+    private constructor(private readonly dependencies: PublishedItemApplierDependencies) {}
+
+    static create(dependencies: PublishedItemApplierDependencies): PublishedItemApplier {
+        return new PublishedItemApplier(dependencies);
+    }
+
+    /** Version of the configuration that was applied last; it may be older than the active one. */
+    get publishedVersion(): number | undefined {
+        return this.lastVersion;
+    }
+
+    /** Applies changed items. */
+    apply(changed: readonly PublishedItem[], reliability: ChangeReliability): void {
+        changed.forEach(item => this.applyItem(item, reliability));
+    }
+
+    private applyItem(item: PublishedItem, reliability: ChangeReliability): void {
+        const meaning = this.dependencies.decoder.kindOf(item.key);
+        switch (meaning.kind) {
+            case "configuration":
+                this.applyConfiguration(item);
+                return;
+            case "server":
+                this.applyServer(meaning.instance, item, reliability);
+                return;
+            case "other":
+                return;
+        }
+    }
+
+    private applyConfiguration({ value, revision }: PublishedItem): void {
+        if (!value) {
+            return;
+        }
+        const { decoder, log, activateConfiguration } = this.dependencies;
+        try {
+            const decoded = decoder.decodeConfiguration(value);
+            this.lastVersion = decoded.configuration.version;
+            if (activateConfiguration(decoded, `revision ${revision}`)) {
+                decoded.problems.forEach(problem => log.problem("configuration-entry-refused", { problem }));
+            }
+        }
+        catch (error) {
+            log.problem("configuration-refused", { revision, problem: String(error) });
+        }
+    }
+
+    private applyServer(instance: string, item: PublishedItem, reliability: ChangeReliability): void {
+        const { directory, decoder, log } = this.dependencies;
+        const { isOlderCopy, lapsedEntryGraceMs } = reliability;
+        const cause = `revision ${item.revision}`;
+        try {
+            const server = item.value && decoder.decodeServer(instance, item.value);
+            if (!server) {
+                directory.remove(instance, lapsedEntryGraceMs, cause);
+            }
+            else if (!isOlderCopy || !directory.isOutdated(server)) {
+                directory.upsert(server, cause);
+            }
+        }
+        catch (error) {
+            log.problem("server-entry-refused", { key: item.key, revision: item.revision, problem: String(error) });
+            directory.remove(instance, lapsedEntryGraceMs, cause);
+        }
+    }
+}
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -35,7 +35,7 @@
 
 /** A change of one server in the directory. */
 export interface DirectoryChange {
-    readonly kind: "joined" | "changed" | "draining" | "missing" | "left";
+    readonly kind: "joined" | "restarted" | "changed" | "draining" | "missing" | "left";
     readonly server: BackendServer;
     readonly cause: string;
 }
@@ -220,11 +220,14 @@
     if (!before) {
         return "joined";
     }
+    if (before.startedAtMs !== after.startedAtMs) {
+        return "restarted";
+    }
     if (before.state !== after.state && after.state === "draining") {
         return "draining";
     }
-    const isSame = before.state === after.state && before.startedAtMs === after.startedAtMs &&
-        before.hostAddress === after.hostAddress && before.slots === after.slots &&
+    const isSame = before.state === after.state && before.hostAddress === after.hostAddress &&
+        before.slots === after.slots &&
         before.missingSinceMs === undefined;
     return isSame ? undefined : "changed";
 }
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -8,8 +8,9 @@
 import type { StateReport } from "../connection/link-message.js";
 import type { ClockReading, ConfigurationLease } from "../version/configuration-lease.js";
 import type { PublishedItem, PublishedState, StatePosition, StateUpdate } from "../version/published-state.js";
+import type { PublishedItemApplier } from "./published-item-applier.js";
 import { PublishedStateError } from "./published-state-reader.js";
-import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
+import type { PublishedStateReader } from "./published-state-reader.js";
 import type { RequestLog } from "./request-log.js";
 import type { ServerDirectory } from "./server-directory.js";
 import type { UpdateSource, UpdateSourceSelector } from "./update-source-selector.js";
@@ -18,7 +19,7 @@
 export interface StateFollowerDependencies {
     readonly clock: Clock;
     readonly reader: PublishedStateReader;
-    readonly decoder: PublishedItemDecoder;
+    readonly applier: PublishedItemApplier;
     readonly selector: UpdateSourceSelector;
     readonly state: PublishedState;
     readonly lease: ConfigurationLease;
@@ -30,8 +31,6 @@
         position: StatePosition | undefined,
         waitMs: number,
     ) => Promise<StateReport | undefined>;
-    /** Activates a configuration if it is newer than the active one; returns whether it is. */
-    readonly applyConfiguration: (decoded: DecodedConfiguration, cause: string) => boolean;
     readonly activeConfigurationVersion: () => number | undefined;
     readonly random?: () => number;
 }
@@ -84,8 +83,6 @@
     private lastUnstableAtMs = -Infinity;
     private nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
     private lastSource = "";
-    /** Version of the configuration in the copy of the store that is held; it may be older than the active one. */
-    private publishedVersion: number | undefined;
     /** Highest version that other nodes report to have been in force. */
     private reportedVersion = -Infinity;
     private firstQuestionsLeft = MAXIMUM_FIRST_QUESTIONS;
@@ -263,10 +260,12 @@
             this.heldProof = proofAt;
             return;
         }
-        const isCurrent = this.publishedVersion === this.dependencies.activeConfigurationVersion() &&
-            (this.publishedVersion ?? -Infinity) >= this.reportedVersion;
+        const { applier, activeConfigurationVersion, lease } = this.dependencies;
+        const { publishedVersion } = applier;
+        const isCurrent = publishedVersion === activeConfigurationVersion() &&
+            (publishedVersion ?? -Infinity) >= this.reportedVersion;
         if (isCurrent) {
-            this.dependencies.lease.renew(proofAt);
+            lease.renew(proofAt);
         }
     }
 
@@ -276,7 +275,7 @@
         changed: readonly PublishedItem[],
         position: StatePosition | undefined,
     ): readonly PublishedItem[] {
-        const { directory, log, clock } = this.dependencies;
+        const { directory, log, clock, applier } = this.dependencies;
         const isOlderCopy = position !== undefined && position.era !== update.position.era;
         if (isOlderCopy && changed.length > 0) {
             this.lastUnstableAtMs = clock.nowMs();
@@ -286,62 +285,13 @@
                 revisionBefore: position.revision,
             });
         }
-        changed.forEach(item => this.applyItem(item, isOlderCopy));
-        if (update.kind === "snapshot" && !directory.hasList) {
+        applier.apply(changed, { isOlderCopy, lapsedEntryGraceMs: this.lapsedEntryGraceMs() });
+        if (update.kind === "snapshot") {
             directory.markLoaded();
         }
         return changed;
     }
 
-    private applyItem(item: PublishedItem, isOlderCopy: boolean): void {
-        const meaning = this.dependencies.decoder.kindOf(item.key);
-        switch (meaning.kind) {
-            case "configuration":
-                this.applyConfiguration(item);
-                return;
-            case "server":
-                this.applyServer(meaning.instance, item, isOlderCopy);
-                return;
-            case "other":
-                return;
-        }
-    }
-
-    private applyConfiguration({ value, revision }: PublishedItem): void {
-        if (!value) {
-            return;
-        }
-        const { decoder, log, applyConfiguration } = this.dependencies;
-        try {
-            const decoded = decoder.decodeConfiguration(value);
-            this.publishedVersion = decoded.configuration.version;
-            if (applyConfiguration(decoded, `revision ${revision}`)) {
-                decoded.problems.forEach(problem => log.problem("configuration-entry-refused", { problem }));
-            }
-        }
-        catch (error) {
-            log.problem("configuration-refused", { revision, problem: String(error) });
-        }
-    }
-
-    private applyServer(instance: string, item: PublishedItem, isOlderCopy: boolean): void {
-        const { directory, decoder, log } = this.dependencies;
-        const cause = `revision ${item.revision}`;
-        try {
-            const server = item.value && decoder.decodeServer(instance, item.value);
-            if (!server) {
-                directory.remove(instance, this.lapsedEntryGraceMs(), cause);
-            }
-            else if (!isOlderCopy || !directory.isOutdated(server)) {
-                directory.upsert(server, cause);
-            }
-        }
-        catch (error) {
-            log.problem("server-entry-refused", { key: item.key, revision: item.revision, problem: String(error) });
-            directory.remove(instance, this.lapsedEntryGraceMs(), cause);
-        }
-    }
-
     private recordPlatformAnswer(): void {
         this.nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
         if (this.isPlatformFailing) {
--- a/packages/mesh/src/test/entry-admission.test.ts
+++ b/packages/mesh/src/test/entry-admission.test.ts
@@ -124,6 +124,14 @@
     assert.equal(guard.decide(2).kind, "admitted");
 });
 
+test("a process that was paused once admits requests at once", () => {
+    const clock = ManualClock.create();
+    const guard = ProcessOverloadGuard.create(clock);
+    clock.advance(1_000);
+    clock.pause(3_000);
+    assert.deepEqual([0, 1, 2].map(priority => guard.decide(priority).kind), ["admitted", "admitted", "admitted"]);
+});
+
 test("a process whose event loop is delayed refuses the least important requests first and recovers soon after", () => {
     const clock = ManualClock.create();
     const guard = ProcessOverloadGuard.create(clock);
--- a/packages/mesh/src/test/state-follower.test.ts
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -3,6 +3,7 @@
 import { beforeEach, test } from "node:test";
 import {
     ConfigurationLease,
+    PublishedItemApplier,
     PublishedState,
     RequestLog,
     ServerDirectory,
@@ -35,14 +36,20 @@
         new Promise<StateUpdate>(resolve => {
             answerPlatform = resolve;
         });
+    const log = RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 });
     follower = StateFollower.create({
         clock,
         reader: { readAll: askPlatform, watch: askPlatform },
-        decoder: {
-            kindOf: key => key === SERVER_KEY ? { kind: "server", instance: "one" } : { kind: "other" },
-            decodeConfiguration: () => assert.fail("no configuration is published"),
-            decodeServer: () => createServer("one"),
-        },
+        applier: PublishedItemApplier.create({
+            decoder: {
+                kindOf: key => key === SERVER_KEY ? { kind: "server", instance: "one" } : { kind: "other" },
+                decodeConfiguration: () => assert.fail("no configuration is published"),
+                decodeServer: () => createServer("one"),
+            },
+            directory,
+            log,
+            activateConfiguration: () => false,
+        }),
         selector: UpdateSourceSelector.create(clock, {
             plan: () => ({ ancestors: [PARENT], helpers: [] }),
             isReachable: () => true,
@@ -50,12 +57,11 @@
         state: PublishedState.create(),
         lease,
         directory,
-        log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
+        log,
         askPeer: () =>
             new Promise(resolve => {
                 answerPeer = resolve;
             }),
-        applyConfiguration: () => false,
         activeConfigurationVersion: () => undefined,
     });
     void follower.run();
