Probe a host that refused sooner, and correct the cause of 503 on an open link

Trace (sockets of the links, times of the log): the other node follows the new host in the tree of hosts, or sends to it, as soon as its server is listed; the process does not listen yet, the connection is refused (21.675), and the host is avoided until the next probe (21.909). In between a caller gets 503 'no-backend-server'. A first probe follows after 105 to 150 ms now (210 to 300 before).

--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -29,7 +29,8 @@
     readonly onLateTokens: (organisation: string, granted: number) => void;
 }
 
-const INITIAL_PROBE_INTERVAL_MS = 300;
+/** Short, because a process that starts refuses connections for a moment only. */
+const INITIAL_PROBE_INTERVAL_MS = 150;
 const MAXIMUM_PROBE_INTERVAL_MS = 1_000;
 const PROBE_INTERVAL_FACTOR = 1.5;
 /** Random reduction of an interval, as a fraction of it. */
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -384,10 +384,6 @@
         if (kind === "left" && !this.directory.hasHost(server.hostAddress)) {
             this.balancer.remove(server.hostAddress);
         }
-        if (kind === "joined" || kind === "restarted") {
-            // What was seen of the host before concerns a process that may have been replaced with its server.
-            this.health.clear(server.hostAddress);
-        }
         if (kind === "left" || kind === "joined") {
             this.quota.updateShares();
         }
