--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -53,6 +53,8 @@
 }
 
 const MAXIMUM_HOSTS_PER_SEARCH = 4;
+/** Searches that one request waits for. */
+const MAXIMUM_SEARCHES = 3;
 /**
  * After a search that found no tokens, the fleet is assumed to have none for this time. The time doubles with each
  * further search that finds none, up to the maximum.
@@ -84,12 +86,13 @@
 
     /** Takes a token for one request of an organisation. */
     async take(organisation: Organisation): Promise<QuotaDecision> {
-        const { clock, quota } = this.dependencies;
+        const { quota } = this.dependencies;
         quota.recordDemand(organisation);
         if (quota.tryTake(organisation)) {
             return { kind: "within" };
         }
-        if (clock.nowMs() >= (this.backoffs.get(organisation.name)?.untilMs ?? 0)) {
+        // A search asks for as many tokens as requests waited when it began; those that join it may need another one.
+        for (let count = 0; count < MAXIMUM_SEARCHES && this.maySearch(organisation); count++) {
             await this.search(organisation);
             if (quota.tryTake(organisation)) {
                 return { kind: "within" };
@@ -98,6 +101,10 @@
         return { kind: "over", retryAfterMs: this.retryAfterMs(organisation) };
     }
 
+    private maySearch({ name }: Organisation): boolean {
+        return this.dependencies.clock.nowMs() >= (this.backoffs.get(name)?.untilMs ?? 0);
+    }
+
     /** Joins the running search for tokens of an organisation, or starts one. */
     private async search(organisation: Organisation): Promise<void> {
         const { name } = organisation;
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -131,6 +131,42 @@
     assert.equal(quota.grant("archive", Number.NaN).granted, 0);
 });
 
+test("requests that arrive while tokens are on their way are not refused for the tokens that were asked for before", async () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation({ ratePerSecond: 100, burst: 8 });
+    const hosts = ["10.0.0.1", "10.0.0.2"].map(toFleetHost);
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => hosts, 1_000);
+    quota.setOrganisations([organisation]);
+    const holder = quota.holdersOf(organisation).addresses[0]!;
+    const localAddress = holder === "10.0.0.1" ? "10.0.0.2" : "10.0.0.1";
+    const asking = OrganisationQuota.create(clock, localAddress, () => hosts, 1_000);
+    asking.setOrganisations([organisation]);
+    const replies: (() => void)[] = [];
+    const broker = TokenBroker.create({
+        clock,
+        quota: asking,
+        localAddress,
+        isReachable: () => true,
+        requestTokens: (_, { wanted }) =>
+            new Promise(resolve => {
+                replies.push(() => resolve({ granted: wanted, nextTokenInMs: 0 }));
+            }),
+    });
+    const decisions: string[] = [];
+    const take = async () => void decisions.push((await broker.take(organisation)).kind);
+    void take();
+    await new Promise(resolve => setImmediate(resolve));
+    for (let request = 0; request < 20; request++) {
+        void take();
+    }
+    while (replies.length > 0) {
+        replies.shift()!();
+        await new Promise(resolve => setImmediate(resolve));
+    }
+    assert.equal(decisions.length, 21);
+    assert.ok(decisions.every(kind => kind === "within"), decisions.join());
+});
+
 test("an organisation without a rate is not limited", async () => {
     const clock = ManualClock.create();
     const organisation = createOrganisation({ ratePerSecond: 0, burst: 0 });
