Show objects in traces, and name a version number as it was given

`radishrouter trace` printed [object Object] for the events that a node had left out of its log; a version number that is none was reported as NaN. Both tests were red.

--- a/packages/cli/src/command/command-line.ts
+++ b/packages/cli/src/command/command-line.ts
@@ -41,6 +41,14 @@
     return String(value);
 }
 
+function readVersionNumber(text: string): number {
+    const version = Number(text);
+    if (!Number.isSafeInteger(version)) {
+        throw CommandError.create(`--version-number ${text}: must be a whole number of at least 1`, exitCodes.usage);
+    }
+    return version;
+}
+
 function readNodeUrls(urls: readonly string[], options: NodeOptions): string[] {
     return resolveNodeUrls(urls.map(String), readOption("hosts", options.hosts));
 }
@@ -107,7 +115,7 @@
         .action((files: string[], options: { versionNumber?: RawOption; previous?: RawOption; out?: RawOption; }) => {
             const version = readOption("version-number", options.versionNumber);
             const document = compileFiles(files, {
-                versionNumber: version === undefined ? undefined : Number(version),
+                versionNumber: version === undefined ? undefined : readVersionNumber(version),
                 previous: readOption("previous", options.previous),
             });
             if (document.warnings.length > 0) {
--- a/packages/cli/src/command/trace-command.ts
+++ b/packages/cli/src/command/trace-command.ts
@@ -108,6 +108,6 @@
 function formatFields(line: LogLine): string {
     return Object.entries(line)
         .filter(([name]) => !COMMON_FIELDS.has(name))
-        .map(([name, value]) => `${name}=${String(value)}`)
+        .map(([name, value]) => `${name}=${typeof value === "object" ? JSON.stringify(value) : String(value)}`)
         .join(" ");
 }
--- a/packages/cli/src/test/command-line.test.ts
+++ b/packages/cli/src/test/command-line.test.ts
@@ -100,7 +100,9 @@
         const damaged = await run("compile", file("damaged.json", "{"), "--previous", out, "--out", out);
         assert.equal(damaged.exitCode, 1);
         assert.equal(readFileSync(out, "utf8"), before);
-        assert.equal((await run("compile", source, "--version-number", "x")).exitCode, 2);
+        const noNumber = await run("compile", source, "--version-number", "x");
+        assert.equal(noNumber.exitCode, 2);
+        assert.match(noNumber.notes, /--version-number x: must be a whole number/);
         assert.equal((await run("compile", source, "--previous", source)).exitCode, 1);
     });
 
--- a/packages/cli/src/test/trace-command.test.ts
+++ b/packages/cli/src/test/trace-command.test.ts
@@ -29,7 +29,7 @@
         reason: "queue-too-long",
         waiting: 9,
     },
-    { time: "2026-12-04T10:00:09.250Z", host: "b", event: "lines-omitted", count: 4 },
+    { time: "2026-12-04T10:00:09.250Z", host: "b", event: "lines-omitted", count: 4, events: { "request-ended": 4 } },
 ]);
 
 test("lines about a request are found in the logs of all hosts, in order, with recent events of these hosts", () => {
@@ -42,6 +42,7 @@
     const text = formatTrace(trace, "tabs");
     assert.match(text, /reason=queue-too-long waiting=9/);
     assert.match(text, /omitted by these hosts in this period: 4/);
+    assert.match(text, /events=\{"request-ended":4\}/);
     assert.doesNotMatch(text, /other/);
 });
 
