Hold a lease back for a reported version for 30 s only

Any node's report of a higher version, also a wrong one or one that is no number, stopped the node that heard it from renewing its lease for as long as it ran, and was handed on from there. A node reports the version that is active at itself now, and a report counts for 30 s. By reading; state-follower.test covers it.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -55,7 +55,7 @@
      * missing soon after a failure may belong to servers that still run.
      */
     readonly platformFailureAgeMs: number;
-    /** Highest configuration version that is known to have been in force; undefined if none is. */
+    /** Configuration version that is active at this node; undefined if none is. */
     readonly configurationVersion: number | undefined;
 }
 
--- a/packages/mesh/src/connection/state-answers.ts
+++ b/packages/mesh/src/connection/state-answers.ts
@@ -13,8 +13,7 @@
     readonly lease: ConfigurationLease;
     /** Time since the platform last failed to answer. */
     readonly platformFailureAgeMs: () => number;
-    /** Highest configuration version that is known to have been in force. */
-    readonly knownConfigurationVersion: () => number | undefined;
+    readonly activeConfigurationVersion: () => number | undefined;
 }
 
 /** Longest time for which an answer waits, whatever the question says. */
@@ -46,14 +45,14 @@
     }
 
     private report(position: StatePosition | undefined, receivedAtMs: number): StateReport {
-        const { clock, state, lease, platformFailureAgeMs, knownConfigurationVersion } = this.dependencies;
+        const { clock, state, lease, platformFailureAgeMs, activeConfigurationVersion } = this.dependencies;
         return {
             position: state.position,
             update: state.updateSince(position),
             proofAgeMs: lease.ageMs(),
             heldMs: clock.nowMs() - receivedAtMs,
             platformFailureAgeMs: platformFailureAgeMs(),
-            configurationVersion: knownConfigurationVersion(),
+            configurationVersion: activeConfigurationVersion(),
         };
     }
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -323,7 +323,7 @@
             state,
             lease,
             platformFailureAgeMs: () => this.follower?.platformFailureAgeMs() ?? 0,
-            knownConfigurationVersion: () => this.follower?.knownConfigurationVersion,
+            activeConfigurationVersion: () => this.configurationVersion,
         });
         return PeerServer.create({
             clock,
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -53,6 +53,8 @@
 const READ_AGAIN_JITTER_MS = 100;
 /** Time after an outage of the platform within which entries that lapsed during it have come back. */
 const LAPSED_ENTRY_RETURN_MS = 2_500;
+/** Time for which a version counts after a node reported it, so that a wrong report does not stop a node for good. */
+const REPORTED_VERSION_LIFETIME_MS = 30_000;
 /** Peers that a node asks at its start whether a newer configuration was in force before. */
 const MAXIMUM_FIRST_QUESTIONS = 3;
 
@@ -74,6 +76,12 @@
     };
 }
 
+/** Configuration version that another node reported to be active. */
+interface ReportedVersion {
+    readonly version: number;
+    readonly heardAtMs: number;
+}
+
 /** Follows the published state until closed. */
 export class StateFollower {
     private closed = false;
@@ -83,12 +91,11 @@
     private lastUnstableAtMs = -Infinity;
     private nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
     private lastSource = "";
-    /** Highest version that other nodes report to have been in force. */
-    private reportedVersion = -Infinity;
+    /** Highest version that another node reported to be active, for as long as it counts. */
+    private reported: ReportedVersion | undefined;
     private firstQuestionsLeft = MAXIMUM_FIRST_QUESTIONS;
     /** Proof that counts as soon as the first questions are answered. */
     private heldProof: ClockReading | undefined;
-
     private readonly waits: FollowWaits;
 
     private constructor(private readonly dependencies: StateFollowerDependencies) {
@@ -124,12 +131,6 @@
         return Math.max(0, LAPSED_ENTRY_RETURN_MS - this.platformFailureAgeMs());
     }
 
-    /** Highest configuration version that is known to have been in force; undefined if none is. */
-    get knownConfigurationVersion(): number | undefined {
-        const known = Math.max(this.dependencies.activeConfigurationVersion() ?? -Infinity, this.reportedVersion);
-        return Number.isFinite(known) ? known : undefined;
-    }
-
     private nextSource(): UpdateSource {
         const { selector } = this.dependencies;
         const isStarting = this.firstQuestionsLeft > 0 && this.dependencies.state.position !== undefined;
@@ -202,7 +203,7 @@
         position: StatePosition | undefined,
     ): void {
         const { state } = this.dependencies;
-        this.reportedVersion = Math.max(this.reportedVersion, report.configurationVersion ?? -Infinity);
+        this.recordReportedVersion(report.configurationVersion);
         const failedAtMs = this.dependencies.clock.nowMs() - Math.max(0, report.platformFailureAgeMs);
         this.lastUnstableAtMs = Math.max(this.lastUnstableAtMs, failedAtMs);
         if (report.update) {
@@ -233,6 +234,19 @@
             undefined;
     }
 
+    private recordReportedVersion(version: number | undefined): void {
+        if (version !== undefined && version >= this.reportedVersion()) {
+            this.reported = { version, heardAtMs: this.dependencies.clock.nowMs() };
+        }
+    }
+
+    private reportedVersion(): number {
+        const { reported } = this;
+        const isRecent = reported &&
+            this.dependencies.clock.nowMs() - reported.heardAtMs < REPORTED_VERSION_LIFETIME_MS;
+        return isRecent ? reported.version : -Infinity;
+    }
+
     private recordPeerFailure(address: string, failure: "no-answer" | "outdated"): void {
         if (this.firstQuestionsLeft > 0) {
             this.firstQuestionsLeft--;
@@ -263,7 +277,7 @@
         const { applier, activeConfigurationVersion, lease } = this.dependencies;
         const { publishedVersion } = applier;
         const isCurrent = publishedVersion === activeConfigurationVersion() &&
-            (publishedVersion ?? -Infinity) >= this.reportedVersion;
+            (publishedVersion ?? -Infinity) >= this.reportedVersion();
         if (isCurrent) {
             lease.renew(proofAt);
         }
--- a/packages/mesh/src/test/peer-server-rig.ts
+++ b/packages/mesh/src/test/peer-server-rig.ts
@@ -20,7 +20,7 @@
             state: PublishedState.create(),
             lease: ConfigurationLease.create(clock, undefined),
             platformFailureAgeMs: () => Infinity,
-            knownConfigurationVersion: () => undefined,
+            activeConfigurationVersion: () => undefined,
         }),
         quota: OrganisationQuota.create(clock, "127.0.0.1", () => hosts, 2_000),
         lifeCycle: LifeCycle.create(),
--- a/packages/mesh/src/test/state-follower.test.ts
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -162,3 +162,15 @@
     });
     assert.equal(directory.readyServers("catalogue").length, 0, "a server that left is not used any more");
 });
+
+test("a version that another node reports holds the lease back, but not for good", async () => {
+    await start();
+    await replyFromParent({ configurationVersion: Number.NaN, proofAgeMs: 100 });
+    assert.equal(lease.ageMs(), 100, "what is no version holds nothing back");
+    clock.advance(1_000);
+    await replyFromParent({ configurationVersion: 9, proofAgeMs: 100 });
+    assert.equal(lease.ageMs(), 1_100, "the copy that is read may be older than what was in force");
+    clock.advance(30_000);
+    await replyFromParent({ proofAgeMs: 100, heldMs: 30_000 });
+    assert.equal(lease.ageMs(), 100);
+});
