Bound the memory of all request bodies that a process holds

A body may be 64 MB and is collected whole, at the entry node and again at the server's; a handful of large uploads at once exceeds the 250 to 350 MB of a node, and with the process go all requests that it serves. Now all bodies of a process share 64 MB; a stated length is reserved before the body is read, others are counted as they arrive, and what does not fit gets 503 with a time to return, as it has not run.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -6,6 +6,7 @@
 import { RequestError } from "@radishrouter/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { BodyBudget, BodyReservation } from "../process/body-budget.js";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
 import { toUsageOutcome } from "../process/organisation-usage-counters.js";
@@ -40,6 +41,7 @@
     readonly metrics: MeshMetrics;
     readonly usageCounters: OrganisationUsageCounters;
     readonly lifeCycle: LifeCycle;
+    readonly bodyBudget: BodyBudget;
 }
 
 /** Header filters, shared by all requests of one server. */
@@ -53,6 +55,8 @@
 const SECOND_MS = 1000;
 /** Time in which a process whose event loop was blocked reads its input backlog. */
 const RETRY_AFTER_BACKLOG_MS = 100;
+/** Time in which some of the bodies that a process holds are sent on. */
+const RETRY_AFTER_NO_ROOM_MS = 300;
 const MAXIMUM_DEADLINE_MS = 600_000;
 const RETRY_AFTER_DECIMALS = 3;
 /** Callers reuse a connection until shortly before the idle timeout, so it is closed this much after the timeout. */
@@ -91,6 +95,7 @@
     /** Name of the authenticated organisation; empty if there is none. */
     private organisation = "";
     private relay: Relay | undefined;
+    private readonly bodyReservation: BodyReservation;
     private isCallerDisconnected = false;
 
     constructor(
@@ -100,6 +105,7 @@
         private readonly response: ServerResponse,
     ) {
         this.startedAtMs = dependencies.clock.nowMs();
+        this.bodyReservation = dependencies.bodyBudget.open();
         this.earliestArrivalMs = dependencies.backlog.earliestArrivalMs(request.socket);
         const id = request.headers[dependencies.headerNames.attemptId];
         this.id = typeof id === "string" ? id : "";
@@ -110,6 +116,7 @@
         this.dependencies.lifeCycle.begin();
         this.response.once("close", () => {
             this.dependencies.lifeCycle.end();
+            this.bodyReservation.release();
             if (!this.response.writableFinished) {
                 this.isCallerDisconnected = true;
                 this.relay?.onCallerDisconnected();
@@ -134,10 +141,15 @@
     private async readAndRelay(admitted: AdmittedRequest): Promise<ExchangeResponse> {
         const { dependencies } = this;
         const { maximumBodyBytes } = admitted.version.configuration.limits;
-        const body = await readBody(this.request, maximumBodyBytes);
+        const body = await readBody(this.request, maximumBodyBytes, this.bodyReservation);
         switch (body.kind) {
             case "too-large":
                 throw RequestError.create("body-too-large");
+            case "no-room":
+                throw RequestError.create("overloaded", {
+                    detail: "the bodies of requests take all memory that is meant for them",
+                    retryAfterMs: RETRY_AFTER_NO_ROOM_MS * (1 + Math.random()),
+                });
             case "aborted":
                 throw RequestError.create("caller-gone", { execution: "not-run" });
             case "whole": {
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -5,6 +5,7 @@
 import type { BacklogMonitor, Clock, Timer } from "@radishrouter/core";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import type { BodyBudget } from "../process/body-budget.js";
 import type { DownstreamPressure } from "../process/downstream-pressure.js";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { OrganisationQuota } from "../process/organisation-quota.js";
@@ -25,6 +26,7 @@
     readonly quota: OrganisationQuota;
     readonly onwardPressure: DownstreamPressure;
     readonly stateAnswers: StateAnswers;
+    readonly bodyBudget: BodyBudget;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
 }
@@ -47,6 +49,9 @@
 /** Time that a late request waits for a cancellation: some round trips of a connection that works again. */
 const CANCELLATION_WAIT_MS = 25;
 
+/** Outcome of a request whose body does not fit into the memory for bodies. */
+const NO_ROOM: FailedOutcome = { kind: "not-run", reason: "no-room", reached: false, retryAfterMs: 300 };
+
 /** Connections that other nodes have opened to this node. */
 export class PeerServer {
     readonly listener: Server;
@@ -183,10 +188,15 @@
      * it is malformed costs the peer its connection.
      */
     private async run(arrival: Arrival, request: ForwardedRequest): Promise<void> {
-        const { lifeCycle, log } = this.dependencies;
+        const { lifeCycle, log, bodyBudget } = this.dependencies;
         const { number } = arrival;
+        const reservation = bodyBudget.open();
         lifeCycle.begin();
         try {
+            if (!reservation.tryAdd(request.content.body?.length ?? 0)) {
+                this.messages.send({ kind: "outcome", number, outcome: NO_ROOM, state: this.state() });
+                return;
+            }
             const attempt = this.start(request, arrival.receivedAtMs - arrival.delayMs);
             this.attempts.set(number, attempt);
             const { outcome, timing } = await attempt.result;
@@ -201,6 +211,7 @@
         }
         finally {
             this.attempts.delete(number);
+            reservation.release();
             lifeCycle.end();
         }
     }
--- a/packages/mesh/src/connection/request-body.ts
+++ b/packages/mesh/src/connection/request-body.ts
@@ -2,15 +2,22 @@
  * Reads the complete body of a request.
  */
 import type { IncomingMessage } from "node:http";
+import type { BodyReservation } from "../process/body-budget.js";
 
 /** Outcome of reading a body. */
 export type BodyResult =
     | { readonly kind: "whole"; readonly body: Buffer | undefined; }
     | { readonly kind: "too-large"; }
+    /** The process holds too many bodies now; a later try may fit. */
+    | { readonly kind: "no-room"; }
     | { readonly kind: "aborted"; };
 
-/** Reads a body of at most `maximumBytes`. */
-export function readBody(request: IncomingMessage, maximumBytes: number): Promise<BodyResult> {
+/** Reads a body of at most `maximumBytes`. A length that is stated is reserved before the body is read. */
+export function readBody(
+    request: IncomingMessage,
+    maximumBytes: number,
+    reservation: BodyReservation,
+): Promise<BodyResult> {
     const { headers } = request;
     const length = Number(headers["content-length"] ?? 0);
     if (length > maximumBytes) {
@@ -19,13 +26,35 @@
     if (length === 0 && headers["transfer-encoding"] === undefined) {
         return Promise.resolve({ kind: "whole", body: undefined });
     }
+    if (!reservation.tryAdd(length)) {
+        return Promise.resolve({ kind: "no-room" });
+    }
+    return collect(request, maximumBytes, length, reservation);
+}
+
+function collect(
+    request: IncomingMessage,
+    maximumBytes: number,
+    reservedBytes: number,
+    reservation: BodyReservation,
+): Promise<BodyResult> {
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let size = 0;
+        const giveUp = (result: BodyResult) => {
+            request.removeAllListeners("data");
+            chunks.length = 0;
+            resolve(result);
+        };
         request.on("data", (chunk: Buffer) => {
+            const unreservedBytes = Math.max(0, size + chunk.length - Math.max(size, reservedBytes));
             size += chunk.length;
             if (size > maximumBytes) {
-                resolve({ kind: "too-large" });
+                giveUp({ kind: "too-large" });
+                return;
+            }
+            if (!reservation.tryAdd(unreservedBytes)) {
+                giveUp({ kind: "no-room" });
                 return;
             }
             chunks.push(chunk);
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -19,6 +19,7 @@
 import { IndexedConfiguration } from "../version/indexed-configuration.js";
 import { PublishedState } from "../version/published-state.js";
 import { WeightedRoundRobin } from "../version/weighted-round-robin.js";
+import { BodyBudget } from "./body-budget.js";
 import { DownstreamPressure } from "./downstream-pressure.js";
 import { DownstreamThrottle } from "./downstream-throttle.js";
 import { LifeCycle } from "./life-cycle.js";
@@ -110,6 +111,7 @@
     private readonly peerServer: PeerServer;
     private readonly broker: TokenBroker;
     private readonly state = PublishedState.create();
+    private readonly bodyBudget = BodyBudget.create();
     private follower: StateFollower | undefined;
     private fleet: FleetView | undefined;
     private version: IndexedConfiguration | undefined;
@@ -333,6 +335,7 @@
             quota,
             onwardPressure,
             stateAnswers,
+            bodyBudget: this.bodyBudget,
             lifeCycle,
             log,
         });
@@ -356,6 +359,7 @@
             metrics,
             usageCounters: this.usageCounters,
             lifeCycle,
+            bodyBudget: this.bodyBudget,
             version: () => this.version,
             headerNames: settings.headerNames,
             localService: settings.service,
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -14,7 +14,9 @@
     /** The backend server on the host belongs to another service. */
     | "other-service"
     /** No connection could be opened. */
-    | "not-connected";
+    | "not-connected"
+    /** The node on the server's host holds too many request bodies. */
+    | "no-room";
 
 /** Why it is unknown whether a request was run, or why its response cannot be used. */
 export type UnknownReason =
--- a/packages/mesh/src/test/peer-server-rig.ts
+++ b/packages/mesh/src/test/peer-server-rig.ts
@@ -2,7 +2,14 @@
  * Creates a server for peers in front of the backend server of a {@link ServerRig}.
  */
 import { PeerServer } from "../connection/peer-server.js";
-import { ConfigurationLease, OrganisationQuota, PublishedState, RequestLog, StateAnswers } from "../index.js";
+import {
+    BodyBudget,
+    ConfigurationLease,
+    OrganisationQuota,
+    PublishedState,
+    RequestLog,
+    StateAnswers,
+} from "../index.js";
 import { LifeCycle } from "../process/life-cycle.js";
 import { toFleetHost } from "./example-values.js";
 import type { ServerRig } from "./server-rig.js";
@@ -15,6 +22,7 @@
         server: client,
         gate,
         onwardPressure,
+        bodyBudget: BodyBudget.create(),
         stateAnswers: StateAnswers.create({
             clock,
             state: PublishedState.create(),
