Generate tokens only from when a host became their holder

An organisation with one holder changes it when that host leaves the list. The new holder had the whole burst at once, beside what the old one had given: twice the burst in one window (organisation-quota.test, red: 16 of 8). Tokens are due since this process started or the host list changed last.

--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -61,7 +61,11 @@
     private readonly selection: QuotaHolderSelection;
     private readonly reserve: QuotaReserve;
     private organisations = new Map<string, Organisation>();
-    private readonly startedAtMs: number;
+    /**
+     * Time since which tokens are due that this host has not generated yet: another process or host may have generated
+     * those before, until this process started or the host list changed last.
+     */
+    private tokensDueSinceMs: number;
 
     private constructor(
         private readonly clock: Clock,
@@ -70,7 +74,7 @@
         private readonly rateReductionMs: number,
         tolerance: QuotaTolerance | undefined,
     ) {
-        this.startedAtMs = clock.nowMs();
+        this.tokensDueSinceMs = clock.nowMs();
         this.selection = QuotaHolderSelection.create(localAddress, hosts);
         this.reserve = QuotaReserve.create(clock, tolerance);
     }
@@ -98,11 +102,16 @@
                 this.buckets.delete(name);
             }
         }
-        this.updateShares();
+        this.recomputeShares();
     }
 
-    /** Recomputes this host's shares after the host list or the rates have changed. */
+    /** Recomputes this host's shares after the host list has changed. */
     updateShares(): void {
+        this.tokensDueSinceMs = this.clock.nowMs();
+        this.recomputeShares();
+    }
+
+    private recomputeShares(): void {
         for (const [name, bucket] of this.buckets) {
             this.updateShare(this.organisations.get(name)!, bucket);
         }
@@ -213,11 +222,10 @@
     private bucketOf(organisation: Organisation): Bucket {
         let bucket = this.buckets.get(organisation.name);
         if (!bucket) {
-            // Starts empty, because the process that ran here before may have used its share. That process generates
-            // nothing after this one has started, so tokens are due from then on.
+            // Starts empty, because the process that ran here before, or another holder, may have used the share.
             bucket = {
                 tokens: 0,
-                refilledAtMs: this.startedAtMs,
+                refilledAtMs: this.tokensDueSinceMs,
                 fleetRate: PhasedLimit.create(this.clock, this.rateReductionMs, organisation.ratePerSecond),
                 fleetBurst: PhasedLimit.create(this.clock, this.rateReductionMs, organisation.burst),
                 fraction: 0,
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -115,6 +115,41 @@
     assert.equal(quota.tryTake(organisation), true);
 });
 
+test("a host that takes over from a holder generates tokens from then on, not those of the time before", () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation({ ratePerSecond: 8, burst: 8 });
+    let hosts = ["10.0.0.1", "10.0.0.2"].map(toFleetHost);
+    const [successor, holder] = createPair(clock, organisation, () => hosts);
+    clock.advance(60_000);
+    let admitted = 0;
+    while (holder.quota.tryTake(organisation)) {
+        admitted++;
+    }
+    hosts = hosts.filter(({ address }) => address === successor.address);
+    successor.quota.updateShares();
+    while (successor.quota.tryTake(organisation)) {
+        admitted++;
+    }
+    assert.equal(admitted, 8, "the burst is not there twice");
+    clock.advance(1_000);
+    assert.equal(successor.quota.tryTake(organisation), true);
+});
+
+/** Quotas of two hosts: one that generates no tokens for an organisation, and one that does. */
+function createPair(
+    clock: ManualClock,
+    organisation: ReturnType<typeof createOrganisation>,
+    hosts: () => ReturnType<typeof toFleetHost>[],
+): readonly [Pick<SimulatedHost, "address" | "quota">, Pick<SimulatedHost, "address" | "quota">] {
+    const pair = hosts().map(({ address }) => {
+        const quota = OrganisationQuota.create(clock, address, hosts, 1_000);
+        quota.setOrganisations([organisation]);
+        return { address, quota };
+    });
+    const isHolder = ({ quota }: { quota: OrganisationQuota; }) => quota.holdersOf(organisation).includesLocalHost;
+    return [pair.find(host => !isHolder(host))!, pair.find(isHolder)!];
+}
+
 test("a host does not grant tokens that its local callers need", () => {
     const clock = ManualClock.create();
     const organisation = createOrganisation({ ratePerSecond: 20, burst: 20 });
