Count lapsed entries from the platform's return, not from its last failure

A node asks a platform that is down at most each 0.8 s, so its last failure may lie that long before the return. Servers write lapsed entries again within 2 s of the return; counted from the last failure they were dropped up to 0.3 s too early, all at once, after each outage (state-follower.test, red).

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -51,8 +51,8 @@
     /** Time from receiving the question until this reply. */
     readonly heldMs: number;
     /**
-     * Time since the platform last failed to answer, as far as is known; infinite if it never did. Entries that are
-     * missing soon after a failure may belong to servers that still run.
+     * Time since an outage of the platform ended, as far as is known; infinite if there was none. Entries that are
+     * missing soon after an outage may belong to servers that still run.
      */
     readonly platformFailureAgeMs: number;
     /** Configuration version that is active at this node; undefined if none is. */
--- a/packages/mesh/src/connection/state-answers.ts
+++ b/packages/mesh/src/connection/state-answers.ts
@@ -11,7 +11,7 @@
     readonly clock: Clock;
     readonly state: PublishedState;
     readonly lease: ConfigurationLease;
-    /** Time since the platform last failed to answer. */
+    /** Time since an outage of the platform ended. */
     readonly platformFailureAgeMs: () => number;
     readonly activeConfigurationVersion: () => number | undefined;
 }
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -118,7 +118,7 @@
         this.closed = true;
     }
 
-    /** Time since the platform last failed to answer this node, or another one that handed that on. */
+    /** Time since an outage of the platform ended at this node, or at another one that handed that on. */
     platformFailureAgeMs(): number {
         return this.dependencies.clock.nowMs() - this.lastUnstableAtMs;
     }
@@ -310,6 +310,8 @@
         this.nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
         if (this.isPlatformFailing) {
             this.isPlatformFailing = false;
+            // Servers write lapsed entries again when the platform is back, which may be long after the last failure.
+            this.lastUnstableAtMs = this.dependencies.clock.nowMs();
             this.dependencies.log.event("store-regained");
         }
     }
