Rank hosts, tell usable peers and view the fleet in one place each

The index of servers held the same hosts as map and as set. - The broker chose between holders and reserve in two places; bytes of a body were reserved by a nested expression. - sinceOutageMs for what was named after the failure but counts from the outage's end.

--- a/packages/core/src/process/rendezvous-hash.ts
+++ b/packages/core/src/process/rendezvous-hash.ts
@@ -24,11 +24,27 @@
     return (hash ^ (hash >>> 16)) >>> 0;
 }
 
+/** A name with its score for one key. */
+export interface ScoredName {
+    readonly name: string;
+    readonly score: number;
+}
+
+/** Scores a name for a key. */
+export function scoreName(key: string, name: string): ScoredName {
+    return { name, score: rendezvousScore(key, name) };
+}
+
+/** Orders scored names of one key, the highest score first. */
+export function compareScoredNames(left: ScoredName, right: ScoredName): number {
+    return right.score - left.score || (left.name < right.name ? -1 : 1);
+}
+
 /** The names with the highest scores for a key, the highest first. */
 export function highestScoringNames(key: string, names: readonly string[], count: number): string[] {
     return names
-        .map(name => ({ name, score: rendezvousScore(key, name) }))
-        .sort((left, right) => right.score - left.score || (left.name < right.name ? -1 : 1))
+        .map(name => scoreName(key, name))
+        .sort(compareScoredNames)
         .slice(0, count)
         .map(({ name }) => name);
 }
--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -54,7 +54,7 @@
      * Time since an outage of the platform ended, as far as is known; infinite if there was none. Entries that are
      * missing soon after an outage may belong to servers that still run.
      */
-    readonly platformFailureAgeMs: number;
+    readonly sinceOutageMs: number;
     /** Configuration version that is active at this node; undefined if none is. */
     readonly configurationVersion: number | undefined;
 }
--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -171,7 +171,7 @@
 
     private mustProbe(address: string): boolean {
         const { health, isInFleet } = this.dependencies;
-        return !this.isClosed && health.troubleOf(address) !== undefined && isInFleet(address);
+        return !this.isClosed && !health.isUsable(address) && isInFleet(address);
     }
 
     private isAlive(address: string): Promise<boolean> {
--- a/packages/mesh/src/connection/request-body.ts
+++ b/packages/mesh/src/connection/request-body.ts
@@ -35,27 +35,30 @@
 function collect(
     request: IncomingMessage,
     maximumBytes: number,
-    reservedBytes: number,
+    statedBytes: number,
     reservation: BodyReservation,
 ): Promise<BodyResult> {
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         let size = 0;
+        let reservedBytes = statedBytes;
         const giveUp = (result: BodyResult) => {
             request.removeAllListeners("data");
             chunks.length = 0;
             resolve(result);
         };
         request.on("data", (chunk: Buffer) => {
-            const unreservedBytes = Math.max(0, size + chunk.length - Math.max(size, reservedBytes));
             size += chunk.length;
             if (size > maximumBytes) {
                 giveUp({ kind: "too-large" });
                 return;
             }
-            if (!reservation.tryAdd(unreservedBytes)) {
-                giveUp({ kind: "no-room" });
-                return;
+            if (size > reservedBytes) {
+                if (!reservation.tryAdd(size - reservedBytes)) {
+                    giveUp({ kind: "no-room" });
+                    return;
+                }
+                reservedBytes = size;
             }
             chunks.push(chunk);
         });
--- a/packages/mesh/src/connection/state-answers.ts
+++ b/packages/mesh/src/connection/state-answers.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock } from "@radishrouter/core";
 import type { ConfigurationLease } from "../version/configuration-lease.js";
-import type { PublishedState, StatePosition } from "../version/published-state.js";
+import type { PublishedState, StatePosition, StateUpdate } from "../version/published-state.js";
 import type { StateReport } from "./link-message.js";
 
 /** What the answers are made from. */
@@ -12,7 +12,7 @@
     readonly state: PublishedState;
     readonly lease: ConfigurationLease;
     /** Time since an outage of the platform ended. */
-    readonly platformFailureAgeMs: () => number;
+    readonly sinceOutageMs: () => number;
     readonly activeConfigurationVersion: () => number | undefined;
 }
 
@@ -31,27 +31,28 @@
     answer(position: StatePosition | undefined, waitMs: number, reply: (report: StateReport) => void): void {
         const { clock, state } = this.dependencies;
         const receivedAtMs = clock.nowMs();
-        if (waitMs <= 0 || !state.position || state.updateSince(position)) {
-            reply(this.report(position, receivedAtMs));
+        const update = state.updateSince(position);
+        if (waitMs <= 0 || !state.position || update) {
+            reply(this.report(update, receivedAtMs));
             return;
         }
         const end = () => {
             timer.cancel();
             stopListening();
-            reply(this.report(position, receivedAtMs));
+            reply(this.report(state.updateSince(position), receivedAtMs));
         };
         const timer = clock.setTimer(Math.min(waitMs, MAXIMUM_WAIT_MS), end);
         const stopListening = state.onceUpdated(end);
     }
 
-    private report(position: StatePosition | undefined, receivedAtMs: number): StateReport {
-        const { clock, state, lease, platformFailureAgeMs, activeConfigurationVersion } = this.dependencies;
+    private report(update: StateUpdate | undefined, receivedAtMs: number): StateReport {
+        const { clock, state, lease, sinceOutageMs, activeConfigurationVersion } = this.dependencies;
         return {
             position: state.position,
-            update: state.updateSince(position),
+            update,
             proofAgeMs: lease.ageMs(),
             heldMs: clock.nowMs() - receivedAtMs,
-            platformFailureAgeMs: platformFailureAgeMs(),
+            sinceOutageMs: sinceOutageMs(),
             configurationVersion: activeConfigurationVersion(),
         };
     }
--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -121,39 +121,37 @@
         const { name } = organisation;
         // Requests that arrive together share the search.
         await Promise.resolve();
-        const hosts = this.hostsToSearch(organisation);
-        const received = hosts.length > 0 ?
-            await this.askHolders(organisation, hosts) :
-            await this.askReserves(organisation);
+        const received = await this.askHolders(organisation) ?? await this.askReserves(organisation);
         this.searches.delete(name);
         this.recordSearch(name, received > 0);
     }
 
-    /** Asks holders until enough tokens are granted; returns their number. */
-    private async askHolders(organisation: Organisation, hosts: readonly string[]): Promise<number> {
+    /** Asks holders until enough tokens are granted; returns their number, or undefined if no holder answers. */
+    private async askHolders(organisation: Organisation): Promise<number | undefined> {
         const { quota, clock, requestTokens } = this.dependencies;
         const { name } = organisation;
-        let received = 0;
-        let lastHost = "";
-        let answers = 0;
+        const hosts = this.hostsToSearch(organisation);
+        let received: number | undefined;
+        let lastHost: string | undefined;
         for (const address of hosts) {
             lastHost = address;
             const waiting = this.waitingFor(name);
-            const wanted = quota.wanted(organisation, waiting) - received;
+            const wanted = quota.wanted(organisation, waiting) - (received ?? 0);
             const grant = await requestTokens(address, { organisation: name, wanted, isReserve: false });
             if (!grant) {
                 continue;
             }
-            answers++;
             quota.receive(organisation, grant.granted);
-            received += grant.granted;
+            received = (received ?? 0) + grant.granted;
             this.expectations.set(name, { waitMs: grant.nextTokenInMs, heardAtMs: clock.nowMs() });
             if (received >= waiting) {
                 break;
             }
         }
-        this.setNextHost(organisation, lastHost, received > 0);
-        return answers === 0 ? await this.askReserves(organisation) : received;
+        if (lastHost !== undefined) {
+            this.setNextHost(organisation, lastHost, (received ?? 0) > 0);
+        }
+        return received;
     }
 
     /** Takes tokens of a reserve, if this host generates none itself and no holder answers. */
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -74,7 +74,7 @@
 /** What follows from one list of hosts. */
 interface FleetView {
     readonly listed: readonly FleetHost[];
-    /** The listed hosts and the local one. */
+    /** The listed hosts, and the local one even while its backend server is not listed. */
     readonly hosts: readonly FleetHost[];
     readonly relayPlan: RelayPlan;
 }
@@ -133,7 +133,7 @@
         this.quota = OrganisationQuota.create(
             clock,
             settings.hostAddress,
-            () => this.fleetHosts(),
+            () => this.currentFleet().hosts,
             settings.rateReductionMs,
             settings.quotaTolerance,
         );
@@ -157,7 +157,7 @@
             clock,
             quota: this.quota,
             localAddress: settings.hostAddress,
-            isReachable: address => this.health.troubleOf(address) === undefined,
+            isReachable: address => this.health.isUsable(address),
             requestTokens: (address, request) => this.peers.requestTokens(address, request),
         });
     }
@@ -215,8 +215,8 @@
             directory,
             log,
             selector: UpdateSourceSelector.create(clock, {
-                plan: () => this.planRelay(),
-                isReachable: address => this.health.troubleOf(address) === undefined,
+                plan: () => this.currentFleet().relayPlan,
+                isReachable: address => this.health.isUsable(address),
             }),
             askPeer: (address, position, waitMs) => peers.askState(address, position, waitMs),
             activeConfigurationVersion: () => this.configurationVersion,
@@ -275,8 +275,8 @@
             this.lease.isValid();
     }
 
-    /** Hosts of the fleet, including this one even while its backend server is not listed. */
-    private fleetHosts(): readonly FleetHost[] {
+    /** What follows from the current list of hosts; the same object until the list changes. */
+    private currentFleet(): FleetView {
         const listed = this.directory.fleetHosts;
         if (this.fleet?.listed !== listed) {
             const { hostAddress, failureDomain } = this.settings;
@@ -285,19 +285,16 @@
             const hosts = isListed ? listed : [...listed, localHost];
             this.fleet = { listed, hosts, relayPlan: planRelay(localHost, hosts) };
         }
-        return this.fleet.hosts;
-    }
-
-    /** Hosts that this node can learn published state from, by the current list of hosts. */
-    private planRelay(): RelayPlan {
-        this.fleetHosts();
-        return this.fleet!.relayPlan;
+        return this.fleet;
     }
 
     private retryBudgetOf(service: string): ServiceRetryBudget {
         let retryBudget = this.retryBudgets.get(service);
         if (!retryBudget) {
-            retryBudget = ServiceRetryBudget.create(this.settings.retryBudgetLimits, () => this.fleetHosts().length);
+            retryBudget = ServiceRetryBudget.create(
+                this.settings.retryBudgetLimits,
+                () => this.currentFleet().hosts.length,
+            );
             this.retryBudgets.set(service, retryBudget);
         }
         return retryBudget;
@@ -324,7 +321,7 @@
             clock,
             state,
             lease,
-            platformFailureAgeMs: () => this.follower?.platformFailureAgeMs() ?? 0,
+            sinceOutageMs: () => this.follower?.sinceOutageMs() ?? 0,
             activeConfigurationVersion: () => this.configurationVersion,
         });
         return PeerServer.create({
--- a/packages/mesh/src/process/peer-health.ts
+++ b/packages/mesh/src/process/peer-health.ts
@@ -44,6 +44,11 @@
         return record?.trouble;
     }
 
+    /** Whether a peer may be used, as far as is known. */
+    isUsable(address: string): boolean {
+        return this.troubleOf(address) === undefined;
+    }
+
     /** Records why a peer is avoided from now on; returns true when it was usable before. */
     record(address: string, trouble: PeerTrouble): boolean {
         const before = this.records.get(address);
--- a/packages/mesh/src/process/quota-holders.ts
+++ b/packages/mesh/src/process/quota-holders.ts
@@ -4,7 +4,8 @@
  * Few hosts hold much each: a token that lies at a host without demand is lost to the callers at all others, so an
  * organisation has only as many holders as its burst fills. All hosts choose the same holders by rendezvous hash.
  */
-import { rendezvousScore } from "@radishrouter/core";
+import { compareScoredNames, scoreName } from "@radishrouter/core";
+import type { ScoredName } from "@radishrouter/core";
 import type { Organisation } from "../version/mesh-configuration.js";
 import type { FleetHost } from "./relay-tree.js";
 
@@ -15,15 +16,11 @@
     readonly includesLocalHost: boolean;
 }
 
-interface ScoredHost {
-    readonly address: string;
-    readonly score: number;
-}
-
-/** Holders of one organisation, the highest score first. */
+/** Holders of one organisation. */
 interface Selection {
     readonly count: number;
-    readonly best: readonly ScoredHost[];
+    /** Addresses of the holders with their scores, the highest first. */
+    readonly best: readonly ScoredName[];
     readonly holders: QuotaHolders;
 }
 
@@ -62,15 +59,15 @@
      */
     reservesOf(organisation: Organisation): readonly string[] {
         const { addresses } = this.holdersOf(organisation);
-        const best = new Map<string, ScoredHost>();
+        const best = new Map<string, ScoredName>();
         for (const host of this.knownHosts) {
             const scored = toScored(organisation.name)(host);
             const other = best.get(host.failureDomain);
-            if (!addresses.includes(host.address) && (!other || byScore(scored, other) < 0)) {
+            if (!addresses.includes(host.address) && (!other || compareScoredNames(scored, other) < 0)) {
                 best.set(host.failureDomain, scored);
             }
         }
-        return [...best.values()].sort(byScore).map(({ address }) => address);
+        return [...best.values()].sort(compareScoredNames).map(({ name }) => name);
     }
 
     private followHosts(): void {
@@ -83,7 +80,7 @@
         const added = hosts.filter(({ address }) => !before.has(address));
         this.knownHosts = hosts;
         for (const [name, { count, best }] of this.selections) {
-            if (best.every(({ address }) => now.has(address))) {
+            if (best.every(scored => now.has(scored.name))) {
                 this.select(name, count, [...best, ...added.map(toScored(name))]);
             }
             else {
@@ -92,9 +89,9 @@
         }
     }
 
-    private select(name: string, count: number, candidates: readonly ScoredHost[]): Selection {
-        const best = [...candidates].sort(byScore).slice(0, count);
-        const addresses = best.map(({ address }) => address);
+    private select(name: string, count: number, candidates: readonly ScoredName[]): Selection {
+        const best = [...candidates].sort(compareScoredNames).slice(0, count);
+        const addresses = best.map(scored => scored.name);
         const holders = { addresses, includesLocalHost: addresses.includes(this.localAddress) };
         const selection = { count, best, holders };
         this.selections.set(name, selection);
@@ -106,10 +103,6 @@
     return Math.max(1, Math.min(hosts, Math.floor(burst / BURST_PER_HOLDER)));
 }
 
-function toScored(name: string): (host: FleetHost) => ScoredHost {
-    return ({ address }) => ({ address, score: rendezvousScore(name, address) });
-}
-
-function byScore(left: ScoredHost, right: ScoredHost): number {
-    return right.score - left.score || (left.address < right.address ? -1 : 1);
+function toScored(organisationName: string): (host: FleetHost) => ScoredName {
+    return ({ address }) => scoreName(organisationName, address);
 }
--- a/packages/mesh/src/process/relay-tree.ts
+++ b/packages/mesh/src/process/relay-tree.ts
@@ -5,7 +5,7 @@
  * The hosts of a failure domain form a tree, and so do the roots of these trees. The order is by rendezvous hash: any
  * two hosts see each other in the same order even while their host lists differ, so hosts never follow in a circle.
  */
-import { rendezvousScore } from "@radishrouter/core";
+import { highestScoringNames } from "@radishrouter/core";
 
 /** A host of the fleet. */
 export interface FleetHost {
@@ -35,7 +35,7 @@
         domains.set(failureDomain, members);
     }
     const localMembers = inOrder(domains.get(localHost.failureDomain)!);
-    const roots = inOrder([...domains.values()].map(members => inOrder(members)[0]!));
+    const roots = inOrder([...domains.values()].map(members => highestScoringNames(HASH_KEY, members, 1)[0]!));
     const localRoot = localMembers[0]!;
     const ancestors = [...pathToRoot(localHost.address, localMembers), ...pathToRoot(localRoot, roots)];
     const helpers = [...localMembers, ...roots]
@@ -49,10 +49,7 @@
 }
 
 function inOrder(addresses: readonly string[]): string[] {
-    return addresses
-        .map(address => ({ address, score: rendezvousScore(HASH_KEY, address) }))
-        .sort((left, right) => right.score - left.score || (left.address < right.address ? -1 : 1))
-        .map(({ address }) => address);
+    return highestScoringNames(HASH_KEY, addresses, addresses.length);
 }
 
 /** The hosts that an address follows in the tree of an ordered list, the nearest first. */
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -44,7 +44,7 @@
 interface DirectoryIndex {
     /** Servers that may receive new requests. */
     readonly byService: ReadonlyMap<string, readonly KnownServer[]>;
-    readonly hostAddresses: ReadonlySet<string>;
+    readonly hostsByAddress: ReadonlyMap<string, FleetHost>;
     readonly fleetHosts: readonly FleetHost[];
 }
 
@@ -80,7 +80,7 @@
 
     /** Whether a backend server is listed at a host. */
     hasHost(address: string): boolean {
-        return this.currentIndex().hostAddresses.has(address);
+        return this.currentIndex().hostsByAddress.has(address);
     }
 
     /** The hosts with their failure domains; the same array until a server changes. */
@@ -195,10 +195,10 @@
 
 function createIndex(servers: Iterable<KnownServer>): DirectoryIndex {
     const byService = new Map<string, KnownServer[]>();
-    const hosts = new Map<string, FleetHost>();
+    const hostsByAddress = new Map<string, FleetHost>();
     for (const server of servers) {
         const { hostAddress, failureDomain } = server;
-        hosts.set(hostAddress, { address: hostAddress, failureDomain });
+        hostsByAddress.set(hostAddress, { address: hostAddress, failureDomain });
         if (server.state === "ready") {
             const list = byService.get(server.service) ?? [];
             list.push(server);
@@ -207,8 +207,8 @@
     }
     return {
         byService,
-        hostAddresses: new Set(hosts.keys()),
-        fleetHosts: [...hosts.values()],
+        hostsByAddress,
+        fleetHosts: [...hostsByAddress.values()],
     };
 }
 
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -88,7 +88,8 @@
     private isPlatformFailing = false;
     /** Whether the changes after the held position are not available, so that everything has to be read. */
     private mustReadAll = false;
-    private lastUnstableAtMs = -Infinity;
+    /** Time at which the platform failed last or, once it answers again, at which it first did. */
+    private outageEndedAtMs = -Infinity;
     private nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
     private lastSource = "";
     /** Highest version that another node reported to be active, for as long as it counts. */
@@ -119,8 +120,8 @@
     }
 
     /** Time since an outage of the platform ended at this node, or at another one that handed that on. */
-    platformFailureAgeMs(): number {
-        return this.dependencies.clock.nowMs() - this.lastUnstableAtMs;
+    sinceOutageMs(): number {
+        return this.dependencies.clock.nowMs() - this.outageEndedAtMs;
     }
 
     /**
@@ -128,7 +129,7 @@
      * and they come back soon after it.
      */
     private lapsedEntryGraceMs(): number {
-        return Math.max(0, LAPSED_ENTRY_RETURN_MS - this.platformFailureAgeMs());
+        return Math.max(0, LAPSED_ENTRY_RETURN_MS - this.sinceOutageMs());
     }
 
     private nextSource(): UpdateSource {
@@ -204,8 +205,8 @@
     ): void {
         const { state } = this.dependencies;
         this.recordReportedVersion(report.configurationVersion);
-        const failedAtMs = this.dependencies.clock.nowMs() - Math.max(0, report.platformFailureAgeMs);
-        this.lastUnstableAtMs = Math.max(this.lastUnstableAtMs, failedAtMs);
+        const reportedEndMs = this.dependencies.clock.nowMs() - Math.max(0, report.sinceOutageMs);
+        this.outageEndedAtMs = Math.max(this.outageEndedAtMs, reportedEndMs);
         if (report.update) {
             this.apply(report.update, state.apply(report.update), position);
         }
@@ -292,7 +293,7 @@
         const { directory, log, clock, applier } = this.dependencies;
         const isOlderCopy = position !== undefined && position.era !== update.position.era;
         if (isOlderCopy && changed.length > 0) {
-            this.lastUnstableAtMs = clock.nowMs();
+            this.outageEndedAtMs = clock.nowMs();
             log.problem("platform-returned-from-older-copy", {
                 era: update.position.era,
                 revision: update.position.revision,
@@ -311,7 +312,7 @@
         if (this.isPlatformFailing) {
             this.isPlatformFailing = false;
             // Servers write lapsed entries again when the platform is back, which may be long after the last failure.
-            this.lastUnstableAtMs = this.dependencies.clock.nowMs();
+            this.outageEndedAtMs = this.dependencies.clock.nowMs();
             this.dependencies.log.event("store-regained");
         }
     }
@@ -327,7 +328,7 @@
             await this.delay(READ_AGAIN_JITTER_MS * this.random());
             return;
         }
-        this.lastUnstableAtMs = clock.nowMs();
+        this.outageEndedAtMs = clock.nowMs();
         selector.recordPlatformFailure();
         if (!this.isPlatformFailing) {
             this.isPlatformFailing = true;
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -159,7 +159,7 @@
         if (server.hostAddress === this.dependencies.hostAddress) {
             return !this.dependencies.isLocalServerDraining();
         }
-        return this.dependencies.health.troubleOf(server.hostAddress) === undefined;
+        return this.dependencies.health.isUsable(server.hostAddress);
     }
 
     private async attempt(server: KnownServer): Promise<AttemptOutcome> {
--- a/packages/mesh/src/test/peer-server-rig.ts
+++ b/packages/mesh/src/test/peer-server-rig.ts
@@ -27,7 +27,7 @@
             clock,
             state: PublishedState.create(),
             lease: ConfigurationLease.create(clock, undefined),
-            platformFailureAgeMs: () => Infinity,
+            sinceOutageMs: () => Infinity,
             activeConfigurationVersion: () => undefined,
         }),
         quota: OrganisationQuota.create(clock, "127.0.0.1", () => hosts, 2_000),
--- a/packages/mesh/src/test/state-follower.test.ts
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -17,6 +17,7 @@
 const LEASE_MS = 5_000;
 const PARENT = "10.0.0.2";
 const SERVER_KEY = "server";
+const REMOVAL: PublishedItem = { key: SERVER_KEY, revision: 11, value: undefined };
 
 let clock: ManualClock;
 let directory: ServerDirectory;
@@ -83,7 +84,7 @@
         update: undefined,
         proofAgeMs: 100,
         heldMs: 0,
-        platformFailureAgeMs: Infinity,
+        sinceOutageMs: Infinity,
         configurationVersion: undefined,
         ...changes,
     };
@@ -108,6 +109,11 @@
     await settle();
 }
 
+/** Has the parent hand on that the server's entry is gone, some time after an outage of the platform. */
+async function replyWithRemoval(sinceOutageMs: number): Promise<void> {
+    await replyFromParent({ sinceOutageMs, position: { era: 1, revision: 11 }, update: changesAt(11, [REMOVAL]) });
+}
+
 test("the lease counts from the proof that the parent hands on", async () => {
     await start();
     await replyFromParent({ proofAgeMs: 700 });
@@ -139,14 +145,9 @@
 
 test("an entry that is missing soon after an outage stays usable, through however many nodes that was learned", async () => {
     await start();
-    await replyFromParent({ platformFailureAgeMs: 1_400 });
+    await replyFromParent({ sinceOutageMs: 1_400 });
     clock.advance(900);
-    const removal: PublishedItem = { key: SERVER_KEY, revision: 11, value: undefined };
-    await replyFromParent({
-        platformFailureAgeMs: 2_300,
-        position: { era: 1, revision: 11 },
-        update: changesAt(11, [removal]),
-    });
+    await replyWithRemoval(2_300);
     assert.equal(directory.readyServers("catalogue").length, 1);
     clock.advance(201);
     assert.equal(directory.readyServers("catalogue").length, 0, "2.5 s after the outage it has not come back");
@@ -154,16 +155,11 @@
 
 test("an outage counts from when it was, not from when its parent reported it", async () => {
     await start();
-    await replyFromParent({ platformFailureAgeMs: 2_500 });
+    await replyFromParent({ sinceOutageMs: 2_500 });
     clock.advance(400);
-    await replyFromParent({ platformFailureAgeMs: 2_900 });
+    await replyFromParent({ sinceOutageMs: 2_900 });
     clock.advance(400);
-    const removal: PublishedItem = { key: SERVER_KEY, revision: 11, value: undefined };
-    await replyFromParent({
-        platformFailureAgeMs: 3_300,
-        position: { era: 1, revision: 11 },
-        update: changesAt(11, [removal]),
-    });
+    await replyWithRemoval(3_300);
     assert.equal(directory.readyServers("catalogue").length, 0, "a server that left is not used any more");
 });
 
@@ -177,7 +173,7 @@
     clock.advance(100);
     await settle();
     clock.advance(700);
-    answerPlatform!(changesAt(11, [{ key: SERVER_KEY, revision: 11, value: undefined }]));
+    answerPlatform!(changesAt(11, [REMOVAL]));
     await settle();
     clock.advance(2_300);
     assert.equal(directory.readyServers("catalogue").length, 1, "entries are back within 2 s of the return");
