Check the deadline of a request before a token of its organisation is taken for it

Cause: after the pause the node first asked for a token of the organisation, whose leases had lapsed. After half a second it refused for the rate (2001), not for the deadline (2003); the caller of the test sends again after a 2001, with a new deadline, and that second try was served. A token was spent, or half a second waited, for a request that could not be served in time. Ruled out: processor load alone (four runs beside 30, four beside 40 busy processes: all six requests got 2003, 13 to 214 ms after the resume). What points to the rate: the failed run took 2.76 s in place of 2.2 to 2.4 s, and the new test fails on the old order with 2001 after the same half second. Test: "reports a passed deadline, and takes no token for it" (organisation at its rate) failed before, passes now.

--- a/packages/daemon/src/connection/caller-listener.ts
+++ b/packages/daemon/src/connection/caller-listener.ts
@@ -110,9 +110,9 @@
         const authenticated = authenticate(dependencies, request);
         entry.assign(authenticated.identity?.organisation ?? OPEN_ORGANISATION);
         releaseSlot = guard.acquireRequestSlot(authenticated.identity?.keyId ?? request.socket.remoteAddress ?? "");
-        await acquireRateToken(dependencies, authenticated, entry);
         const allowedMs = readDeadlineMs(request.headers[DEADLINE_HEADER], authenticated.matched.route.deadlineMs);
         const remainingMs = requireTimeLeft(allowedMs, waitedMs);
+        await acquireRateToken(dependencies, authenticated, entry);
         const ticket = admitByCallGraphLoad(dependencies, authenticated);
         await runRequest(dependencies, request, response, { ...authenticated, guard, remainingMs, ticket }, entry);
     }
--- a/packages/testbed/src/fleet/fault-fleet.ts
+++ b/packages/testbed/src/fleet/fault-fleet.ts
@@ -15,6 +15,8 @@
     readonly behaviour?: { readonly serviceMs?: number; readonly answerBytes?: number; };
     readonly limits?: Record<string, number>;
     readonly deadlineMs?: number;
+    /** Requests per second, and burst, of the caller's organisation; unlimited when absent. */
+    readonly rate?: number;
     readonly addressSeed?: number;
     readonly directBackends?: boolean;
 }
@@ -22,6 +24,7 @@
 /** Name of the host whose node receives the callers' requests. */
 export const ENTRY = "entry";
 const ORGANISATION = "archive";
+const UNLIMITED_RATE = 1_000_000;
 
 /** A fleet, a caller with a valid access key, and a check of the results that the caller received. */
 export class FaultFleet {
@@ -39,9 +42,10 @@
     /** Starts a fleet and resolves when every node has rate tokens for the caller's organisation. */
     static async create(options: FaultFleetOptions): Promise<FaultFleet> {
         const deadlineMs = options.deadlineMs ?? 8_000;
+        const rate = options.rate ?? UNLIMITED_RATE;
         const failureDomains = { "khomas-a": { region: "khomas", seats: options.servers + 1 } };
         const example = createExampleConfiguration({
-            organisations: { [ORGANISATION]: { rate: 1_000_000, burst: 1_000_000 } },
+            organisations: { [ORGANISATION]: { rate, burst: rate } },
             services: {
                 front: {},
                 back: {
--- a/packages/testbed/src/test/pauses.test.ts
+++ b/packages/testbed/src/test/pauses.test.ts
@@ -5,6 +5,7 @@
 const SERVER = "server-0";
 const DEADLINE_MS = 700;
 const REQUEST_COUNT = 6;
+const DEADLINE_TOO_NEAR = 2003;
 
 describe("a node that resumes after a pause", () => {
     let faults: FaultFleet;
@@ -65,3 +66,32 @@
         assert.deepEqual(startsAfter(resumedAtMs, "left"), []);
     });
 });
+
+describe("a node that resumes after a pause, with an organisation at its rate", () => {
+    let faults: FaultFleet;
+
+    before(async () => {
+        faults = await FaultFleet.create({ servers: 1, rate: 2 });
+    });
+    after(() => faults.stop());
+
+    test("reports a passed deadline, and takes no token for it", async () => {
+        const { fleet, caller, key } = faults;
+        const url = `${fleet.callerUrl(SERVER)}/back/book/1`;
+        fleet.host(SERVER).node.signal("SIGSTOP");
+        const pending = Array.from({ length: REQUEST_COUNT }, (_, number) =>
+            caller.send({
+                host: SERVER,
+                url,
+                method: "POST",
+                key,
+                requestId: `late-${number}`,
+                headers: { "deadline-ms": String(DEADLINE_MS) },
+            }));
+        await new Promise(resolve => setTimeout(resolve, 3 * DEADLINE_MS));
+        fleet.host(SERVER).node.signal("SIGCONT");
+        for (const { result } of await Promise.all(pending)) {
+            assert.ok(result.kind === "problem" && result.code === DEADLINE_TOO_NEAR, JSON.stringify(result));
+        }
+    });
+});
