Ignore a report without a usable time of the last outage, and give outages and reported versions files of their own

What callers saw: nothing yet; found by reading. A peer's report whose outage time is missing or no number made this node's time of the last outage no number, for good: entries that lapsed during an outage then counted as left at once. A node of an older version, as in a rolling upgrade, sends none. Change: PlatformOutage takes only a time that is later than what it knows. state-follower.ts keeps the order of the steps; what is known of outages and of versions that others reported is in platform-outage.ts and reported-version.ts. Test: "a report without a usable time of the last outage does not hide the outage" failed before, passes now.

--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -8,9 +8,11 @@
 import type { StateReport } from "../connection/link-message.js";
 import type { ClockReading, ConfigurationLease } from "../version/configuration-lease.js";
 import type { PublishedItem, PublishedState, StatePosition, StateUpdate } from "../version/published-state.js";
+import { PlatformOutage } from "./platform-outage.js";
 import type { PublishedItemApplier } from "./published-item-applier.js";
 import { PublishedStateError } from "./published-state-reader.js";
 import type { PublishedStateReader } from "./published-state-reader.js";
+import { ReportedVersion } from "./reported-version.js";
 import type { RequestLog } from "./request-log.js";
 import type { ServerDirectory } from "./server-directory.js";
 import type { UpdateSource, UpdateSourceSelector } from "./update-source-selector.js";
@@ -51,10 +53,6 @@
 const CHANGE_BATCHING_DELAY_MS = 200;
 /** Longest random delay before everything is read again, so that nodes do not read together. */
 const READ_AGAIN_JITTER_MS = 100;
-/** Time after an outage of the platform within which entries that lapsed during it have come back. */
-const LAPSED_ENTRY_RETURN_MS = 2_500;
-/** Time for which a version counts after a node reported it, so that a wrong report does not stop a node for good. */
-const REPORTED_VERSION_LIFETIME_MS = 30_000;
 /** Peers that a node asks at its start whether a newer configuration was in force before. */
 const MAXIMUM_FIRST_QUESTIONS = 3;
 
@@ -76,24 +74,15 @@
     };
 }
 
-/** Configuration version that another node reported to be active. */
-interface ReportedVersion {
-    readonly version: number;
-    readonly heardAtMs: number;
-}
-
 /** Follows the published state until closed. */
 export class StateFollower {
     private closed = false;
-    private isPlatformFailing = false;
     /** Whether the changes after the held position are not available, so that everything has to be read. */
     private mustReadAll = false;
-    /** Time at which the platform failed last or, once it answers again, at which it first did. */
-    private outageEndedAtMs = -Infinity;
     private nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
     private lastSource = "";
-    /** Highest version that another node reported to be active, for as long as it counts. */
-    private reported: ReportedVersion | undefined;
+    private readonly outage: PlatformOutage;
+    private readonly reportedVersion: ReportedVersion;
     private firstQuestionsLeft = MAXIMUM_FIRST_QUESTIONS;
     /** Proof that counts as soon as the first questions are answered. */
     private heldProof: ClockReading | undefined;
@@ -101,6 +90,8 @@
 
     private constructor(private readonly dependencies: StateFollowerDependencies) {
         this.waits = waitsFor(dependencies.lease.durationMs ?? DEFAULT_LEASE_MS);
+        this.outage = PlatformOutage.create(dependencies.clock);
+        this.reportedVersion = ReportedVersion.create(dependencies.clock);
     }
 
     static create(dependencies: StateFollowerDependencies): StateFollower {
@@ -121,15 +112,7 @@
 
     /** Time since an outage of the platform ended at this node, or at another one that handed that on. */
     sinceOutageMs(): number {
-        return this.dependencies.clock.nowMs() - this.outageEndedAtMs;
-    }
-
-    /**
-     * Time for which a server stays usable whose entry is missing: during an outage, entries of running servers lapse,
-     * and they come back soon after it.
-     */
-    private lapsedEntryGraceMs(): number {
-        return Math.max(0, LAPSED_ENTRY_RETURN_MS - this.sinceOutageMs());
+        return this.outage.sinceMs();
     }
 
     private nextSource(): UpdateSource {
@@ -159,7 +142,7 @@
         const sentAt = lease.now();
         const { position } = state;
         try {
-            const waitMs = isCheck || this.isPlatformFailing ? PLATFORM_CHECK_WAIT_MS : this.waits.platformWaitMs;
+            const waitMs = isCheck || this.outage.isFailing ? PLATFORM_CHECK_WAIT_MS : this.waits.platformWaitMs;
             const update = position && !this.mustReadAll ?
                 await reader.watch(position, waitMs) :
                 await reader.readAll();
@@ -204,9 +187,8 @@
         position: StatePosition | undefined,
     ): void {
         const { state } = this.dependencies;
-        this.recordReportedVersion(report.configurationVersion);
-        const reportedEndMs = this.dependencies.clock.nowMs() - Math.max(0, report.sinceOutageMs);
-        this.outageEndedAtMs = Math.max(this.outageEndedAtMs, reportedEndMs);
+        this.reportedVersion.record(report.configurationVersion);
+        this.outage.recordReport(report.sinceOutageMs);
         if (report.update) {
             this.apply(report.update, state.apply(report.update), position);
         }
@@ -235,19 +217,6 @@
             undefined;
     }
 
-    private recordReportedVersion(version: number | undefined): void {
-        if (version !== undefined && version >= this.reportedVersion()) {
-            this.reported = { version, heardAtMs: this.dependencies.clock.nowMs() };
-        }
-    }
-
-    private reportedVersion(): number {
-        const { reported } = this;
-        const isRecent = reported &&
-            this.dependencies.clock.nowMs() - reported.heardAtMs < REPORTED_VERSION_LIFETIME_MS;
-        return isRecent ? reported.version : -Infinity;
-    }
-
     private recordPeerFailure(address: string, failure: "no-answer" | "outdated"): void {
         if (this.firstQuestionsLeft > 0) {
             this.firstQuestionsLeft--;
@@ -278,7 +247,7 @@
         const { applier, activeConfigurationVersion, lease } = this.dependencies;
         const { publishedVersion } = applier;
         const isCurrent = publishedVersion === activeConfigurationVersion() &&
-            (publishedVersion ?? -Infinity) >= this.reportedVersion();
+            (publishedVersion ?? -Infinity) >= this.reportedVersion.current();
         if (isCurrent) {
             lease.renew(proofAt);
         }
@@ -290,17 +259,17 @@
         changed: readonly PublishedItem[],
         position: StatePosition | undefined,
     ): readonly PublishedItem[] {
-        const { directory, log, clock, applier } = this.dependencies;
+        const { directory, log, applier } = this.dependencies;
         const isOlderCopy = position !== undefined && position.era !== update.position.era;
         if (isOlderCopy && changed.length > 0) {
-            this.outageEndedAtMs = clock.nowMs();
+            this.outage.recordOlderCopy();
             log.problem("platform-returned-from-older-copy", {
                 era: update.position.era,
                 revision: update.position.revision,
                 revisionBefore: position.revision,
             });
         }
-        applier.apply(changed, { isOlderCopy, lapsedEntryGraceMs: this.lapsedEntryGraceMs() });
+        applier.apply(changed, { isOlderCopy, lapsedEntryGraceMs: this.outage.lapsedEntryGraceMs() });
         if (update.kind === "snapshot") {
             directory.markLoaded();
         }
@@ -309,17 +278,14 @@
 
     private recordPlatformAnswer(): void {
         this.nextRetryDelayMs = INITIAL_RETRY_DELAY_MS;
-        if (this.isPlatformFailing) {
-            this.isPlatformFailing = false;
-            // Servers write lapsed entries again when the platform is back, which may be long after the last failure.
-            this.outageEndedAtMs = this.dependencies.clock.nowMs();
+        if (this.outage.recordAnswer()) {
             this.dependencies.log.event("store-regained");
         }
     }
 
     /** Logs a failure of the platform; waits if it has to be asked again, because no other node can be asked. */
     private async handlePlatformFailure(error: unknown): Promise<void> {
-        const { state, log, clock, selector } = this.dependencies;
+        const { state, log, selector } = this.dependencies;
         const failure = error instanceof PublishedStateError ? error.failure : "invalid-answer";
         if (failure === "position-unknown") {
             log.event("store-history-gone", { revision: state.position?.revision });
@@ -328,10 +294,8 @@
             await this.delay(READ_AGAIN_JITTER_MS * this.random());
             return;
         }
-        this.outageEndedAtMs = clock.nowMs();
         selector.recordPlatformFailure();
-        if (!this.isPlatformFailing) {
-            this.isPlatformFailing = true;
+        if (this.outage.recordFailure()) {
             log.problem("store-lost", { failure, problem: String(error) });
         }
         if (selector.next().kind === "peer") {
--- a/packages/mesh/src/test/state-follower.test.ts
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -153,6 +153,18 @@
     assert.equal(directory.readyServers("catalogue").length, 0, "2.5 s after the outage it has not come back");
 });
 
+test("a report without a usable time of the last outage does not hide the outage", async () => {
+    await start();
+    await replyFromParent({ sinceOutageMs: 1_400 });
+    await replyFromParent({ sinceOutageMs: Number.NaN });
+    clock.advance(100);
+    await replyWithRemoval(undefined as unknown as number);
+    clock.advance(900);
+    assert.equal(directory.readyServers("catalogue").length, 1);
+    clock.advance(101);
+    assert.equal(directory.readyServers("catalogue").length, 0, "2.5 s after the outage it has not come back");
+});
+
 test("an outage counts from when it was, not from when its parent reported it", async () => {
     await start();
     await replyFromParent({ sinceOutageMs: 2_500 });
