Keep the number of shares in the records of a configuration

What callers saw: an organisation got more or less than its rate. Nodes that learned the configuration as records from other nodes divided rates by the number of seats, those that read the platform by the published shareCount; the hash of both was the same, so that nothing corrected it. Tests: both of document-format.test.ts failed before, pass now. Older nodes ignore the record's section.

--- a/packages/core/src/version/document-format.ts
+++ b/packages/core/src/version/document-format.ts
@@ -41,20 +41,28 @@
 }
 
 const configurationSections = ["organisations", "services", "failureDomains"] as const;
+/** Section and name of the record that holds the number of shares. */
+const SHARE_COUNT = "shareCount";
 
-/** The configuration that operators publish; its records are organisations, services and failure domains. */
+/**
+ * The configuration that operators publish; its records are organisations, services and failure domains, and the number
+ * of shares if it is set.
+ */
 export const configurationFormat: DocumentFormat<Configuration> = {
     kind: DocumentKind.CONFIGURATION,
     check: value => checkAgainstSchema(configurationSchema, value, content => content.version),
     toRecords: value => {
-        const document = value as Record<string, Record<string, unknown>>;
-        return configurationSections.flatMap(section =>
-            Object.entries(document[section]!).map(([name, content]) => ({
+        const document = value as Configuration;
+        const records = configurationSections.flatMap(section =>
+            Object.entries(document[section]).map(([name, content]) => ({
                 section,
                 name,
                 json: JSON.stringify(content),
             }))
         );
+        return document.shareCount === undefined ?
+            records :
+            [...records, { section: SHARE_COUNT, name: SHARE_COUNT, json: JSON.stringify(document.shareCount) }];
     },
     fromRecords: (version, records) => {
         const inSection = (section: string) =>
@@ -64,7 +72,11 @@
                     JSON.parse(record.json) as unknown,
                 ]),
             );
-        return { version, ...Object.fromEntries(configurationSections.map(name => [name, inSection(name)])) };
+        return {
+            version,
+            ...Object.fromEntries(configurationSections.map(name => [name, inSection(name)])),
+            ...inSection(SHARE_COUNT),
+        };
     },
 };
 
