Send a new process all host statuses, not the first 500

What callers saw: in a fleet with more than 500 hosts that are not live, a new process sent requests to hosts that the others knew to have failed, until it found out itself. Test: 500 of 1,201 statuses arrived before, all now, in three messages.

--- a/packages/core/src/process/membership-gossip.ts
+++ b/packages/core/src/process/membership-gossip.ts
@@ -25,7 +25,7 @@
 /** Time for which a status is sent again after it was received. */
 const RECENT_STATUS_MS = 60_000;
 const MAXIMUM_RESENT_STATUSES = 50;
-/** Bounds the message to a new process, which is sent every status other than live. */
+/** Bounds each message to a new process, which is sent every status other than live. */
 const MAXIMUM_STATUSES_PER_MESSAGE = 500;
 
 /** Sends host statuses and failure domain reports to other nodes. */
@@ -66,13 +66,12 @@
         this.send(host, [...this.recentStatuses.values()].slice(-MAXIMUM_RESENT_STATUSES).map(({ status }) => status));
     }
 
-    /** Sends statuses to one host. */
+    /** Sends statuses to one host, in as many messages as they need. */
     send(host: string, statuses: readonly HostStatus[]): void {
-        if (statuses.length === 0) {
-            return;
+        for (let start = 0; start < statuses.length; start += MAXIMUM_STATUSES_PER_MESSAGE) {
+            const updates = statuses.slice(start, start + MAXIMUM_STATUSES_PER_MESSAGE).map(toUpdate);
+            this.options.transport.send(host, { case: "hostUpdates", value: create(HostUpdatesSchema, { updates }) });
         }
-        const updates = statuses.slice(0, MAXIMUM_STATUSES_PER_MESSAGE).map(toUpdate);
-        this.options.transport.send(host, { case: "hostUpdates", value: create(HostUpdatesSchema, { updates }) });
     }
 }
 
