Count a request's crashes also after its sixteenth

What callers saw: a request that completes now and then but crashed 16 servers was never quarantined again, because no further crash was recorded. The oldest id is dropped now in place of the newest crash. Test: "crashes count however often the request has crashed servers before" failed before, passes now.

--- a/packages/core/src/process/quarantine.ts
+++ b/packages/core/src/process/quarantine.ts
@@ -22,7 +22,7 @@
 interface Entry {
     /** Crashes since the request last completed. */
     crashes: number;
-    /** Ids of all recorded crashes, including those that no longer count, so that a duplicate notice counts once. */
+    /** Ids of the latest crashes, including those that no longer count, so that a duplicate notice counts once. */
     readonly crashIds: Set<string>;
     lastCrashMs: number;
 }
@@ -30,6 +30,15 @@
 const QUARANTINE_CRASHES = 2;
 const MAXIMUM_CRASH_IDS = 16;
 
+/** Adds the id of a crash, and drops the oldest id where there are too many. */
+function addCrashId(crashIds: Set<string>, crashId: string): void {
+    crashIds.add(crashId);
+    const [oldest] = crashIds;
+    if (oldest !== undefined && crashIds.size > MAXIMUM_CRASH_IDS) {
+        crashIds.delete(oldest);
+    }
+}
+
 /** Stores crashes by the fingerprint of the requests that were in flight. */
 export class Quarantine {
     /** Entries in the order of their latest crash, oldest first. */
@@ -61,10 +70,10 @@
         this.dropExpired();
         for (const fingerprint of fingerprints) {
             const entry = this.entries.get(fingerprint) ?? { crashes: 0, crashIds: new Set(), lastCrashMs: 0 };
-            if (entry.crashIds.has(crashId) || entry.crashIds.size >= MAXIMUM_CRASH_IDS) {
+            if (entry.crashIds.has(crashId)) {
                 continue;
             }
-            entry.crashIds.add(crashId);
+            addCrashId(entry.crashIds, crashId);
             entry.crashes++;
             entry.lastCrashMs = this.clock.nowMs();
             this.entries.delete(fingerprint);
--- a/packages/core/src/test/quarantine.test.ts
+++ b/packages/core/src/test/quarantine.test.ts
@@ -61,3 +61,19 @@
     assert.equal(quarantine.suspicionOf("e"), "none");
     assert.equal(quarantine.size, 0);
 });
+
+test("crashes count however often the request has crashed servers before", () => {
+    const quarantine = Quarantine.create(ManualClock.create(), {
+        expiryMs: EXPIRY_MS,
+        maximumEntries: MAXIMUM_ENTRIES,
+    });
+    for (let crash = 0; crash < 40; crash++) {
+        quarantine.recordCrash(`earlier-${crash}`, ["a"]);
+        quarantine.clear("a");
+    }
+    quarantine.recordCrash("first", ["a"]);
+    quarantine.recordCrash("first", ["a"]);
+    assert.equal(quarantine.suspicionOf("a"), "suspect");
+    quarantine.recordCrash("second", ["a"]);
+    assert.equal(quarantine.suspicionOf("a"), "quarantined");
+});
