Forget the importance that was shed once the overload is over

What callers saw: after an overload that shed critical requests, a full queue without any shedding was reported to other nodes as admitting nothing, so that they avoided the server. Test: "a queue that is full again does not report the importance that was shed in an earlier overload" failed before.

--- a/packages/core/src/process/concurrency-limiter.ts
+++ b/packages/core/src/process/concurrency-limiter.ts
@@ -72,13 +72,15 @@
 
 const MINIMUM_QUEUE_LIMIT = 4;
 const MINIMUM_RETRY_AFTER_MS = 1000;
+/** Time for which the importance that was shed last is reported while the queue is full. */
+const SHED_RANK_LIFETIME_MS = 1000;
 const DEFAULT_WEIGHT = 1;
 
 /** Applies a concurrency limit and a short queue to the requests of one backend server. */
 export class ConcurrencyLimiter {
     private inFlight = 0;
-    /** Importance rank of the last request that was shed; -1 before the first. */
-    private lastShedRank = -1;
+    /** Importance rank of the last request that was shed, and when that was. */
+    private lastShed = { rank: -1, atMs: -Infinity };
     private readonly limit: AdaptiveLimit;
     private readonly queue: FairQueue<Waiter>;
     private readonly serviceTimes: ServiceTimes;
@@ -111,10 +113,15 @@
             inFlight: this.inFlight,
             queued: this.queue.length,
             limit: this.currentLimit(),
-            admittedRank: isFull ? this.lastShedRank + 1 : 0,
+            admittedRank: isFull ? this.recentShedRank() + 1 : 0,
         };
     }
 
+    /** Importance rank that was shed in this overload; -1 if none was. */
+    private recentShedRank(): number {
+        return this.clock.nowMs() - this.lastShed.atMs <= SHED_RANK_LIFETIME_MS ? this.lastShed.rank : -1;
+    }
+
     /** Fraction of the queue that is in use, from 0 to 1. */
     occupancy(): number {
         return Math.min(1, this.queue.length / this.queueLimit());
@@ -184,7 +191,7 @@
     private shedLowestPriority(): void {
         const shed = this.queue.takeNextToShed();
         if (shed) {
-            this.lastShedRank = shed.rank;
+            this.lastShed = { rank: shed.rank, atMs: this.clock.nowMs() };
             shed.stopWaiting();
             shed.request.onShed?.(shed.pressure);
             shed.refuse(RequestError.create("overloaded", { retryAfterMs: this.retryAfterMs() }));
--- a/packages/core/src/test/concurrency-limiter.test.ts
+++ b/packages/core/src/test/concurrency-limiter.test.ts
@@ -108,3 +108,23 @@
     assert.equal(limiter.load().queued, 0);
     running.release("completed");
 });
+
+test("a queue that is full again does not report the importance that was shed in an earlier overload", async () => {
+    const clock = ManualClock.create();
+    const limiter = ConcurrencyLimiter.create(clock, { slots: 1 });
+    const fill = async (importance: ConcurrencyRequest["importance"], count: number) => {
+        const callers = Array.from({ length: count }, () => new AbortController());
+        callers.forEach(({ signal }) => trackOutcome(limiter.acquire(createRequest({ importance, signal }))));
+        await settle();
+        return () => callers.forEach(caller => caller.abort(RequestError.create("caller-gone")));
+    };
+    const running = await limiter.acquire(createRequest());
+    const emptyQueue = await fill("critical", 5);
+    assert.equal(limiter.load().admittedRank, 3, "critical requests are shed");
+    emptyQueue();
+    await settle();
+    clock.advance(60_000);
+    await fill("normal", 4);
+    assert.equal(limiter.load().admittedRank, 0, "nothing has been shed in this overload");
+    running.release("completed");
+});
