--- a/packages/core/src/process/token-bucket.ts
+++ b/packages/core/src/process/token-bucket.ts
@@ -49,12 +49,6 @@
         this.tokens = Math.min(this.tokens, burst);
     }
 
-    /** Drops all tokens, for example after a pause of the process. */
-    clear(): void {
-        this.tokens = 0;
-        this.refilledAtMs = this.clock.nowMs();
-    }
-
     private refill(): void {
         const nowMs = this.clock.nowMs();
         this.tokens = Math.min(this.burst, this.tokens + (nowMs - this.refilledAtMs) * this.ratePerSecond / 1000);
