Have one host take the place of a root that is down, and ask the store after a lost connection only if no host is left

What callers saw: nothing. Change: after a root, its followers turn to the second host of the tree. Tests: "while a root is down ..." and "after the connection to a host was lost ..." failed before, pass now. "the way to the root is short" counted the list of hosts to follow; that list now holds standbys too, so that the test follows the way itself, with the same bound. A new test follows every edge of the tree under differing lists: no circle.

--- a/packages/mesh/src/process/relay-tree.ts
+++ b/packages/mesh/src/process/relay-tree.ts
@@ -15,7 +15,10 @@
 
 /** Hosts that a host can learn updates from. */
 export interface RelayPlan {
-    /** Hosts on the path to the root of the fleet, the nearest first; empty for the root. */
+    /**
+     * Hosts on the path to the root of the fleet, the nearest first, each root followed by the host that takes its place
+     * while it is down; empty for the root.
+     */
     readonly ancestors: readonly string[];
     /** Other hosts to ask if neither an ancestor nor the platform responds, the preferred first. */
     readonly helpers: readonly string[];
@@ -24,6 +27,8 @@
 /** Hosts that follow the same host, at most. */
 const MAXIMUM_FOLLOWERS = 16;
 const MAXIMUM_HELPERS = 4;
+/** Position, in the order of a tree, of the host that takes the place of the root while it is down. */
+const STANDBY_POSITION = 1;
 const HASH_KEY = "published-state";
 
 /** Plans where a host of the fleet learns updates; the host itself need not be in the list. */
@@ -52,13 +57,14 @@
     return highestScoringNames(HASH_KEY, addresses, addresses.length);
 }
 
-/** The hosts that an address follows in the tree of an ordered list, the nearest first. */
+/** The hosts that an address follows in the tree of an ordered list, the nearest first, then the root's standby. */
 function pathToRoot(address: string, ordered: readonly string[]): string[] {
     const path: string[] = [];
     let position = ordered.indexOf(address);
+    const hasStandby = position > STANDBY_POSITION;
     while (position > 0) {
         position = Math.floor((position - 1) / MAXIMUM_FOLLOWERS);
         path.push(ordered[position]!);
     }
-    return path;
+    return hasStandby ? [...new Set([...path, ordered[STANDBY_POSITION]!])] : path;
 }
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -15,7 +15,7 @@
 import { ReportedVersion } from "./reported-version.js";
 import type { RequestLog } from "./request-log.js";
 import type { ServerDirectory } from "./server-directory.js";
-import type { UpdateSource, UpdateSourceSelector } from "./update-source-selector.js";
+import type { SourceFailure, UpdateSource, UpdateSourceSelector } from "./update-source-selector.js";
 
 /** Collaborators of a follower. */
 export interface StateFollowerDependencies {
@@ -169,7 +169,8 @@
         try {
             const report = await askPeer(address, position, isStarting ? 0 : this.waits.peerWaitMs);
             if (!report) {
-                this.recordPeerFailure(address, "no-answer");
+                const elapsedMs = lease.now().monotonicMs - sentAt.monotonicMs;
+                this.recordPeerFailure(address, elapsedMs < this.waits.peerWaitMs ? "connection-lost" : "no-answer");
                 return;
             }
             this.applyReport(address, report, sentAt, position);
@@ -217,7 +218,7 @@
             undefined;
     }
 
-    private recordPeerFailure(address: string, failure: "no-answer" | "outdated"): void {
+    private recordPeerFailure(address: string, failure: SourceFailure): void {
         if (this.firstQuestionsLeft > 0) {
             this.firstQuestionsLeft--;
             if (this.firstQuestionsLeft === 0) {
--- a/packages/mesh/src/process/update-source-selector.ts
+++ b/packages/mesh/src/process/update-source-selector.ts
@@ -2,8 +2,8 @@
  * Decides whom a node asks next for published updates: a host that hands them on, or the platform itself.
  *
  * Answers the load of a fleet on the platform: one host reads it, and the others follow that host. A host whose source
- * fails reads the platform once, at once, and then follows the next host, so that each stays current when hosts fail,
- * when hosts are cut off from each other, and when the platform serves only some hosts.
+ * falls silent reads the platform once, at once, and then follows the next host, so that each stays current when hosts
+ * fail, when hosts are cut off from each other, and when the platform serves only some hosts.
  */
 import type { Clock } from "@radishrouter/core";
 import type { RelayPlan } from "./relay-tree.js";
@@ -16,8 +16,8 @@
 /** `watch` waits for changes; `check` returns at once, because the last proof is old already. */
 export type PlatformQuestion = "watch" | "check";
 
-/** Why a peer is not asked for a while: it gave no answer, or its own knowledge is too old. */
-export type SourceFailure = "no-answer" | "outdated";
+/** Why a peer is not asked for a while: no connection to it, no answer in time, or its own knowledge is too old. */
+export type SourceFailure = "connection-lost" | "no-answer" | "outdated";
 
 /** State of the fleet that the selector decides by. */
 export interface SourceSelectorInputs {
@@ -80,12 +80,17 @@
         this.avoidedUntilMs.delete(address);
     }
 
-    /** Records a peer that did not help; the platform is asked next. */
+    /**
+     * Records a peer that did not help. The platform is asked next, unless the failure took no time and another peer can
+     * be asked: many hosts may follow a host that ends.
+     */
     recordPeerFailure(address: string, failure: SourceFailure): void {
         const durationMs = failure === "outdated" ? AVOID_OUTDATED_MS : AVOID_AFTER_NO_ANSWER_MS;
         this.forgetExpired();
         this.avoidedUntilMs.set(address, this.clock.nowMs() + durationMs);
-        this.isPlatformNext = !this.isPlatformFailing();
+        const canAskAnother = failure === "connection-lost" &&
+            this.firstUsable(this.inputs.plan().ancestors) !== undefined;
+        this.isPlatformNext = !this.isPlatformFailing() && !canAskAnother;
     }
 
     /** Has the platform asked next, because what peers hand on has to be compared with it. */
--- a/packages/mesh/src/test/relay-tree.test.ts
+++ b/packages/mesh/src/test/relay-tree.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { planRelay } from "../index.js";
-import type { FleetHost } from "../index.js";
+import type { FleetHost, RelayPlan } from "../index.js";
 
 const MAXIMUM_FOLLOWERS = 16;
 
@@ -27,12 +27,16 @@
 
 test("no host hands updates on to more than the maximum, and the way to the root is short", () => {
     const hosts = createHosts(1_000, 10);
+    const parents = new Map(hosts.map(host => [host.address, planRelay(host, hosts).ancestors[0]]));
     const followers = new Map<string, number>();
-    for (const host of hosts) {
-        const { ancestors } = planRelay(host, hosts);
-        assert.ok(ancestors.length <= 4, `${ancestors.length} hosts up to the root`);
-        if (ancestors[0] !== undefined) {
-            followers.set(ancestors[0], (followers.get(ancestors[0]) ?? 0) + 1);
+    for (const { address } of hosts) {
+        const way: string[] = [];
+        for (let parent = parents.get(address); parent !== undefined; parent = parents.get(parent)) {
+            way.push(parent);
+        }
+        assert.ok(way.length <= 4, `${way.length} hosts up to the root`);
+        if (way[0] !== undefined) {
+            followers.set(way[0], (followers.get(way[0]) ?? 0) + 1);
         }
     }
     // The roots of the failure domains follow each other besides.
@@ -54,6 +58,37 @@
     }
 });
 
+test("while a root is down, one host of its failure domain and one other root take its place", () => {
+    for (const [count, domains] of [[13, 3], [67, 4], [195, 5], [1_000, 31]] as const) {
+        const hosts = createHosts(count, domains);
+        const plans = hosts.map(host => planRelay(host, hosts));
+        const isFleetRoot = ({ ancestors }: RelayPlan) => ancestors.length === 0;
+        const root = hosts[plans.findIndex(isFleetRoot)]!.address;
+        const withoutRoot = plans
+            .filter(plan => !isFleetRoot(plan))
+            .map(({ ancestors }) => ancestors.filter(address => address !== root));
+        const readers = withoutRoot.filter(ancestors => ancestors.length === 0).length;
+        assert.ok(readers <= 2, `${readers} of ${count} hosts have only the platform`);
+    }
+});
+
+test("whichever of its ancestors each host follows, none follow in a circle", () => {
+    const hosts = createHosts(60, 3);
+    const seenBy = (index: number) => hosts.filter((_, other) => (other * 7 + index) % 5 !== 0);
+    const ancestorsOf = new Map(
+        hosts.map((host, index) => [host.address, planRelay(host, seenBy(index)).ancestors]),
+    );
+    const finished = new Set<string>();
+    const visit = (address: string, path: readonly string[]): void => {
+        assert.ok(!path.includes(address), `circle ${[...path, address].join(" ")}`);
+        if (!finished.has(address)) {
+            ancestorsOf.get(address)!.forEach(ancestor => visit(ancestor, [...path, address]));
+            finished.add(address);
+        }
+    };
+    hosts.forEach(({ address }) => visit(address, []));
+});
+
 test("a host that is not in the list still has hosts to follow, and helpers are other hosts", () => {
     const hosts = createHosts(20, 2);
     const plan = planRelay({ address: "10.9.9.9", failureDomain: "domain-0" }, hosts);
--- a/packages/mesh/src/test/update-source-selector.test.ts
+++ b/packages/mesh/src/test/update-source-selector.test.ts
@@ -49,6 +49,16 @@
     assert.equal(nextName(), "parent", "it is tried again after a while");
 });
 
+test("after the connection to a host was lost another host is asked, and the platform only if there is none", () => {
+    selector.recordPlatformAnswer();
+    selector.recordPeerFailure("parent", "connection-lost");
+    assert.equal(nextName(), "root");
+    selector.recordPeerFailure("root", "connection-lost");
+    assert.equal(nextName(), "check");
+    selector.recordPlatformAnswer();
+    assert.equal(nextName(), "watch");
+});
+
 test("when no ancestor can be used, the platform is watched", () => {
     selector.recordPlatformAnswer();
     unreachable = new Set(["parent", "root"]);
