--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -5,7 +5,6 @@
  * A link is open once the peer's process has replied on it, and calls are sent only on an open link. The peer's host
  * may accept a connection long before the peer's process reads it, and a call that was not sent has certainly not run.
  */
-import { alignedDelayMs } from "@radishrouter/core";
 import type { Clock, Timer } from "@radishrouter/core";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
@@ -14,6 +13,7 @@
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState, StateReport } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import { PeerClock } from "./peer-clock.js";
+import { ResponseMonitor } from "./response-monitor.js";
 import type { TokenRequest } from "./token-broker.js";
 
 /** Outcome of a call. `sent` is false only if the peer cannot have received the call. */
@@ -71,10 +71,6 @@
 
 /** Time within which a peer must reply on a new connection. */
 const OPENING_TIMEOUT_MS = 350;
-/** Interval of the pings to a peer that has pending calls. */
-const PING_INTERVAL_MS = 150;
-/** Time without a message after which a peer counts as unresponsive. */
-const UNRESPONSIVE_AFTER_MS = 550;
 /** If a timer fires this late, this process was delayed itself and may not have read the peer's messages yet. */
 const MAXIMUM_TIMER_DELAY_MS = 80;
 
@@ -91,11 +87,15 @@
     /** Time of the first ping that the peer has not answered; undefined when there is none. */
     private firstUnansweredPingAtMs: number | undefined;
     private lastNumber = 0;
-    private lastReceivedAtMs: number;
-    private pingTimer: Timer | undefined;
+    private readonly monitor: ResponseMonitor;
 
     private constructor(private readonly options: PeerLinkOptions) {
-        this.lastReceivedAtMs = options.clock.nowMs();
+        this.monitor = ResponseMonitor.create({
+            clock: options.clock,
+            isWaiting: () => this.hasPingedCalls(),
+            ping: () => this.ping(),
+            onUnresponsive: () => this.abandonCalls(),
+        });
         this.socket = connect({ host: options.address, port: options.port, noDelay: true });
         this.messages = MessageSocket.create(this.socket, {
             onMessage: message => this.receive(message),
@@ -174,7 +174,7 @@
                 return;
             }
             this.send(message);
-            this.startPinging();
+            this.monitor.watch();
         });
     }
 
@@ -227,7 +227,7 @@
         this.stage = "open";
         this.openingTimer?.cancel();
         this.queuedCalls.splice(0).forEach(message => this.send(message));
-        this.startPinging();
+        this.monitor.watch();
     }
 
     private ping(): void {
@@ -236,7 +236,7 @@
     }
 
     private receive(message: LinkMessage): void {
-        this.lastReceivedAtMs = this.options.clock.nowMs();
+        this.monitor.recordMessage();
         switch (message.kind) {
             case "outcome": {
                 const call = this.removeCall(message.number);
@@ -264,7 +264,7 @@
     }
 
     private applyState(state: NodeState, requestedAtMs: number | undefined): void {
-        this.peerClock.recordExchange(requestedAtMs ?? -Infinity, state.clockMs, this.lastReceivedAtMs);
+        this.peerClock.recordExchange(requestedAtMs ?? -Infinity, state.clockMs, this.options.clock.nowMs());
         if (this.stage === "opening") {
             this.open();
         }
@@ -277,15 +277,6 @@
         return call;
     }
 
-    /** Pings the peer while calls are pending, until it counts as unresponsive. */
-    private startPinging(): void {
-        if (this.pingTimer || !this.hasPingedCalls()) {
-            return;
-        }
-        this.lastReceivedAtMs = Math.max(this.lastReceivedAtMs, this.options.clock.nowMs());
-        this.schedulePing();
-    }
-
     private hasPingedCalls(): boolean {
         for (const call of this.pendingCalls.values()) {
             if (call.isPinged) {
@@ -295,33 +286,6 @@
         return false;
     }
 
-    private schedulePing(): void {
-        const { clock } = this.options;
-        const delayMs = alignedDelayMs(clock, PING_INTERVAL_MS);
-        const dueAtMs = clock.nowMs() + delayMs;
-        this.pingTimer = clock.setTimer(delayMs, () => this.onPingTimer(dueAtMs));
-    }
-
-    private onPingTimer(dueAtMs: number): void {
-        this.pingTimer = undefined;
-        if (this.stage === "silent" || this.stage === "closed" || !this.hasPingedCalls()) {
-            return;
-        }
-        const nowMs = this.options.clock.nowMs();
-        const sinceLastMessageMs = nowMs - this.lastReceivedAtMs;
-        if (
-            this.stage === "open" && sinceLastMessageMs > UNRESPONSIVE_AFTER_MS &&
-            nowMs - dueAtMs < MAXIMUM_TIMER_DELAY_MS
-        ) {
-            this.abandonCalls();
-            return;
-        }
-        if (sinceLastMessageMs >= PING_INTERVAL_MS) {
-            this.ping();
-        }
-        this.schedulePing();
-    }
-
     /** Abandons the calls that may be abandoned; the others stay pending, because their replies may still arrive. */
     private abandonCalls(): void {
         this.stage = "silent";
@@ -346,7 +310,7 @@
     private close(): void {
         const previousStage = this.stage;
         this.stage = "closed";
-        this.pingTimer?.cancel();
+        this.monitor.stop();
         this.openingTimer?.cancel();
         this.queuedCalls = [];
         for (const call of this.pendingCalls.values()) {
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -8,6 +8,7 @@
 export * from "./connection/node-listeners.js";
 export * from "./connection/peer-clock.js";
 export * from "./connection/peer-link.js";
+export * from "./connection/response-monitor.js";
 export * from "./connection/state-answers.js";
 export * from "./connection/status-server.js";
 export * from "./connection/token-broker.js";
