--- a/packages/mesh/src/connection/request-body.ts
+++ b/packages/mesh/src/connection/request-body.ts
@@ -3,6 +3,8 @@
  */
 import type { IncomingMessage } from "node:http";
 import type { BodyReservation } from "../process/body-budget.js";
+import { CollectedBody } from "./collected-body.js";
+import { SizedBody } from "./sized-body.js";
 
 /** Outcome of reading a body. */
 export type BodyResult =
@@ -39,16 +41,15 @@
     reservation: BodyReservation,
 ): Promise<BodyResult> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let size = 0;
+        const body = statedBytes > 0 ? SizedBody.create(statedBytes) : CollectedBody.create();
         let reservedBytes = statedBytes;
         const giveUp = (result: BodyResult) => {
             request.removeAllListeners("data");
-            chunks.length = 0;
+            body.clear();
             resolve(result);
         };
         request.on("data", (chunk: Buffer) => {
-            size += chunk.length;
+            const size = body.length + chunk.length;
             if (size > maximumBytes) {
                 giveUp({ kind: "too-large" });
                 return;
@@ -60,9 +61,12 @@
                 }
                 reservedBytes = size;
             }
-            chunks.push(chunk);
+            body.add(chunk);
+        });
+        request.on("end", () => resolve({ kind: "whole", body: body.toBuffer() }));
+        request.on("close", () => {
+            body.clear();
+            resolve({ kind: "aborted" });
         });
-        request.on("end", () => resolve({ kind: "whole", body: Buffer.concat(chunks) }));
-        request.on("close", () => resolve({ kind: "aborted" }));
     });
 }
