Check the deadline before a token is taken on the platform's path too

What callers saw: requests that arrived during a pause of the node and whose deadline had passed were refused for the rate of their organisation (429), or took a token of it, which others then lacked.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -130,15 +130,17 @@
             this.route = routed.route;
             const authenticated = admission.authenticate(routed, typeof key === "string" ? key : undefined);
             this.organisation = authenticated.organisation?.name ?? "";
+            const deadlineAtMs = this.findDeadlineAtMs(authenticated.route);
+            this.throwIfDeadlinePassed(deadlineAtMs);
             const admitted = await admission.admit(authenticated);
-            this.sendResponse(await this.readAndRelay(admitted));
+            this.sendResponse(await this.readAndRelay(admitted, deadlineAtMs));
         }
         catch (error) {
             this.sendFailure(error);
         }
     }
 
-    private async readAndRelay(admitted: AdmittedRequest): Promise<ExchangeResponse> {
+    private async readAndRelay(admitted: AdmittedRequest, deadlineAtMs: number): Promise<ExchangeResponse> {
         const { dependencies } = this;
         const { maximumBodyBytes } = admitted.version.configuration.limits;
         const body = await readBody(this.request, maximumBodyBytes, this.bodyReservation);
@@ -153,10 +155,10 @@
             case "aborted":
                 throw RequestError.create("caller-gone", { execution: "not-run" });
             case "whole": {
-                const relayedRequest = this.createRelayedRequest(admitted, body.body);
+                const relayedRequest = this.createRelayedRequest(admitted, body.body, deadlineAtMs);
                 // Requesting tokens from other hosts and reading the body may have taken time.
                 await this.waitForInputBacklog();
-                this.throwIfDeadlinePassed(relayedRequest);
+                this.throwIfDeadlinePassed(deadlineAtMs);
                 this.relay = Relay.create(
                     dependencies.relay,
                     relayedRequest,
@@ -190,15 +192,22 @@
     }
 
     /** Rejects a request whose deadline passed while it waited in the input backlog or was being read. */
-    private throwIfDeadlinePassed({ deadlineAtMs }: RelayedRequest): void {
+    private throwIfDeadlinePassed(deadlineAtMs: number): void {
         if (deadlineAtMs <= this.dependencies.clock.nowMs()) {
             throw RequestError.create("deadline-too-near", { retryAfterMs: RETRY_AFTER_BACKLOG_MS });
         }
     }
 
-    private createRelayedRequest(admitted: AdmittedRequest, body: Buffer | undefined): RelayedRequest {
+    private findDeadlineAtMs(route: Route): number {
+        return this.earliestArrivalMs + Math.min(this.readDeadlineMs(), route.timeoutMs);
+    }
+
+    private createRelayedRequest(
+        admitted: AdmittedRequest,
+        body: Buffer | undefined,
+        deadlineAtMs: number,
+    ): RelayedRequest {
         const { route, organisation, isOnwardCall } = admitted;
-        const deadlineAtMs = this.earliestArrivalMs + Math.min(this.readDeadlineMs(), route.timeoutMs);
         const objectiveAtMs = this.startedAtMs + route.latencyObjectiveMs;
         const content = {
             id: this.id,
