Count connections that are accepted one after another after a pause as having waited for it

What callers saw: eight requests arrived on new connections while the node was paused; the first was refused because its deadline had passed, the others counted from when their connections were accepted, a millisecond later each, so that requests whose callers had given up were run. Cause: an iteration of the event loop accepts one connection; a backlog counted for the first only. Change: the connections of an uninterrupted sequence may have waited since the blocked event loop that it began with, for half a second after that; under lasting overload the sequence does not end, and later ones have not waited for so long.

--- a/packages/core/src/process/backlog-monitor.ts
+++ b/packages/core/src/process/backlog-monitor.ts
@@ -31,6 +31,12 @@
 /** Shortest time over which connections were accepted that counts as a backlog. */
 const MINIMUM_BACKLOG_MS = 100;
 
+/**
+ * Time after a backlog within which the connections that waited during it are accepted; under lasting overload, a sequence
+ * of accepted connections does not end, and later ones have not waited for so long.
+ */
+const MAXIMUM_BURST_MS = 500;
+
 const systemOptions: BacklogMonitorOptions = {
     wallClock: Date.now,
     afterPollPhase: callback => void setImmediate(callback),
@@ -48,6 +54,8 @@
     private readonly acceptedConnections = new WeakMap<object, number>();
     /** Start of the uninterrupted sequence of event loop iterations that each accepted a connection. */
     private acceptBurstStartMs: number | undefined;
+    /** Backlog that the sequence began with, or that was noticed in it: its connections may have waited since then. */
+    private burstBacklog: { readonly sinceMs: number; readonly noticedAtMs: number; } | undefined;
     private acceptedCount = 0;
     private readonly timer: Timer;
 
@@ -66,7 +74,8 @@
         this.detectBacklog();
         const nowMs = this.clock.nowMs();
         this.acceptBurstStartMs ??= this.backlogSinceMs ?? nowMs;
-        this.acceptedConnections.set(connection, this.backlogSinceMs ?? nowMs);
+        this.recordBurstBacklog();
+        this.acceptedConnections.set(connection, this.burstBacklog?.sinceMs ?? nowMs);
         const count = ++this.acceptedCount;
         this.afterIterations(2, () => {
             this.acceptedConnections.delete(connection);
@@ -82,8 +91,8 @@
     }
 
     /**
-     * Earliest time of the clock at which the input that is now read from a connection can have arrived. Excludes the
-     * time for which a connection waited to be accepted behind others, because that time is not known.
+     * Earliest time of the clock at which the input that is now read from a connection can have arrived. Of the time for
+     * which a connection waited to be accepted behind others, only that since a blocked event loop is known.
      */
     earliestArrivalMs(connection: object): number {
         this.detectBacklog();
@@ -114,10 +123,22 @@
         );
     }
 
+    /** Remembers a backlog for the connections that are accepted in the following iterations. */
+    private recordBurstBacklog(): void {
+        const nowMs = this.clock.nowMs();
+        if (this.burstBacklog && nowMs - this.burstBacklog.noticedAtMs > MAXIMUM_BURST_MS) {
+            this.burstBacklog = undefined;
+        }
+        if (this.backlogSinceMs !== undefined) {
+            this.burstBacklog ??= { sinceMs: this.backlogSinceMs, noticedAtMs: nowMs };
+        }
+    }
+
     /** Ends the sequence of accepted connections; called when a complete iteration had no connection to accept. */
     private endAcceptBurst(): void {
         const waitedMs = this.clock.nowMs() - (this.acceptBurstStartMs ?? Infinity);
         this.acceptBurstStartMs = undefined;
+        this.burstBacklog = undefined;
         if (waitedMs >= MINIMUM_BACKLOG_MS) {
             void this.events.emit("noticed", { of: "connections", waitedMs });
         }
--- a/packages/core/src/test/backlog-watch.test.ts
+++ b/packages/core/src/test/backlog-watch.test.ts
@@ -48,6 +48,36 @@
     assert.equal(monitor.earliestArrivalMs(connection), clock.nowMs());
 });
 
+test("connections that are accepted one per iteration after a pause may all have waited for it", () => {
+    const { clock, monitor, endIteration } = createMonitoredProcess();
+    clock.pause(BLOCKED_MS);
+    const pausedAtMs = clock.nowMs() - BLOCKED_MS;
+    for (let iteration = 0; iteration < 20; iteration++) {
+        const connection = {};
+        monitor.recordAccepted(connection);
+        endIteration();
+        clock.advance(5);
+        assert.equal(monitor.earliestArrivalMs(connection), pausedAtMs);
+    }
+    endIteration();
+    endIteration();
+    const later = {};
+    monitor.recordAccepted(later);
+    assert.equal(monitor.earliestArrivalMs(later), clock.nowMs(), "no connection was left in between");
+});
+
+test("under lasting overload later connections do not count as having waited for the first pause", () => {
+    const { clock, monitor, endIteration } = createMonitoredProcess();
+    for (let iteration = 0; iteration < 10; iteration++) {
+        clock.pause(BLOCKED_MS);
+        const connection = {};
+        monitor.recordAccepted(connection);
+        endIteration();
+        const waitedMs = clock.nowMs() - monitor.earliestArrivalMs(connection);
+        assert.ok(waitedMs <= BLOCKED_MS + TICK_MS, `${waitedMs} ms`);
+    }
+});
+
 test("connections accepted one per iteration for a long time are a backlog, and count as newly accepted", async () => {
     const { clock, monitor, endIteration } = createMonitoredProcess();
     const detected: Backlog[] = [];
