--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -22,9 +22,11 @@
 import { BodyBudget } from "./body-budget.js";
 import { DownstreamPressure } from "./downstream-pressure.js";
 import { DownstreamThrottle } from "./downstream-throttle.js";
+import { FleetView } from "./fleet-view.js";
 import { LifeCycle } from "./life-cycle.js";
 import { LoadBalancer } from "./load-balancer.js";
 import { LocalInstance } from "./local-instance.js";
+import { LocalServerState } from "./local-server-state.js";
 import { MeshMetrics } from "./mesh-metrics.js";
 import { OrganisationQuota } from "./organisation-quota.js";
 import { OrganisationUsageCounters } from "./organisation-usage-counters.js";
@@ -33,8 +35,6 @@
 import { PublishedItemApplier } from "./published-item-applier.js";
 import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
 import type { QuotaTolerance } from "./quota-reserve.js";
-import { planRelay } from "./relay-tree.js";
-import type { FleetHost, RelayPlan } from "./relay-tree.js";
 import { RequestLog } from "./request-log.js";
 import { ServerDirectory } from "./server-directory.js";
 import type { DirectoryChange } from "./server-directory.js";
@@ -71,16 +71,6 @@
     readonly log: { readonly decisionLinesPerSecond: number; readonly successSampleInterval: number; };
 }
 
-/** What follows from one list of hosts. */
-interface FleetView {
-    readonly listed: readonly FleetHost[];
-    /** The listed hosts, and the local one even while its backend server is not listed. */
-    readonly hosts: readonly FleetHost[];
-    readonly relayPlan: RelayPlan;
-}
-
-/** Fraction of the drain time for which the local backend server still gets requests that are on their way. */
-const DRAIN_FRACTION = 0.6;
 /** Time for which callers and peers still send requests to a node that has announced its stop. */
 const STOP_NOTICE_MS = 2_800;
 /** Time before the process is killed at which the requests still in flight are given up. */
@@ -94,6 +84,7 @@
     private readonly lifeCycle = LifeCycle.create();
     private readonly gate: ServerGate;
     private readonly localInstance = LocalInstance.create();
+    private readonly localServer: LocalServerState;
     private readonly health: PeerHealth;
     private readonly balancer: LoadBalancer;
     private readonly roundRobin = WeightedRoundRobin.create();
@@ -113,17 +104,26 @@
     private readonly state = PublishedState.create();
     private readonly bodyBudget = BodyBudget.create();
     private follower: StateFollower | undefined;
-    private fleet: FleetView | undefined;
+    private readonly fleet: FleetView;
     private version: IndexedConfiguration | undefined;
     private callerServer: Server | undefined;
     private readonly listeners = NodeListeners.create();
-    private isLocalServerDraining = false;
 
     private constructor(private readonly settings: MeshNodeSettings, private readonly clock: Clock) {
         this.log = RequestLog.create(clock, { host: settings.host, ...settings.log });
         this.lease = ConfigurationLease.create(clock, settings.keyLeaseMs);
         this.directory = ServerDirectory.create(clock);
+        this.fleet = FleetView.create(
+            { address: settings.hostAddress, failureDomain: settings.failureDomain },
+            () => this.directory.fleetHosts,
+        );
         this.gate = ServerGate.create(clock);
+        this.localServer = LocalServerState.create({
+            clock,
+            gate: this.gate,
+            localInstance: this.localInstance,
+            drainMs: settings.drainMs,
+        });
         this.health = PeerHealth.create(clock);
         this.throttle = DownstreamThrottle.create(clock);
         this.onwardPressure = DownstreamPressure.create(clock);
@@ -133,7 +133,7 @@
         this.quota = OrganisationQuota.create(
             clock,
             settings.hostAddress,
-            () => this.currentFleet().hosts,
+            () => this.fleet.hosts,
             settings.rateReductionMs,
             settings.quotaTolerance,
         );
@@ -215,7 +215,7 @@
             directory,
             log,
             selector: UpdateSourceSelector.create(clock, {
-                plan: () => this.currentFleet().relayPlan,
+                plan: () => this.fleet.relayPlan,
                 isReachable: address => this.health.isUsable(address),
             }),
             askPeer: (address, position, waitMs) => peers.askState(address, position, waitMs),
@@ -275,25 +275,12 @@
             this.lease.isValid();
     }
 
-    /** What follows from the current list of hosts; the same object until the list changes. */
-    private currentFleet(): FleetView {
-        const listed = this.directory.fleetHosts;
-        if (this.fleet?.listed !== listed) {
-            const { hostAddress, failureDomain } = this.settings;
-            const localHost = { address: hostAddress, failureDomain };
-            const isListed = listed.some(({ address }) => address === hostAddress);
-            const hosts = isListed ? listed : [...listed, localHost];
-            this.fleet = { listed, hosts, relayPlan: planRelay(localHost, hosts) };
-        }
-        return this.fleet;
-    }
-
     private retryBudgetOf(service: string): ServiceRetryBudget {
         let retryBudget = this.retryBudgets.get(service);
         if (!retryBudget) {
             retryBudget = ServiceRetryBudget.create(
                 this.settings.retryBudgetLimits,
-                () => this.currentFleet().hosts.length,
+                () => this.fleet.hosts.length,
             );
             this.retryBudgets.set(service, retryBudget);
         }
@@ -374,7 +361,7 @@
                 onwardPressure: this.onwardPressure,
                 throttle: this.throttle,
                 retryBudgetOf: service => this.retryBudgetOf(service),
-                isLocalServerDraining: () => this.isLocalServerDraining,
+                isLocalServerDraining: () => this.localServer.isDraining,
             },
         };
     }
@@ -389,29 +376,9 @@
             this.quota.updateShares();
         }
         if (server.hostAddress === this.settings.hostAddress) {
-            this.updateLocalServer();
-        }
-    }
-
-    /** Applies the instance, slots and state in the list entry of the local backend server. */
-    private updateLocalServer(): void {
-        const { address, port } = this.settings.backendServer;
-        const local = this.directory.findByAddress(address, port);
-        this.localInstance.setListed(local?.instance);
-        if (local) {
-            this.gate.setSlots(local.slots);
-        }
-        const isDraining = local === undefined || local.state === "draining";
-        if (isDraining && !this.isLocalServerDraining) {
-            this.clock.setTimer(
-                this.settings.drainMs * DRAIN_FRACTION,
-                () => this.gate.setDraining(this.isLocalServerDraining),
-            );
-        }
-        if (!isDraining) {
-            this.gate.setDraining(false);
+            const { address, port } = this.settings.backendServer;
+            this.localServer.apply(this.directory.findByAddress(address, port));
         }
-        this.isLocalServerDraining = isDraining;
     }
 
     /** Unlike a timer of the clock, this timer keeps the process alive until the orderly stop is complete. */
