Throttle entry requests in large fleets too, where each entry node gets few of them

What callers saw: in an overload of a service deep in the call graph, nodes of a large fleet refused next to nothing at the entry. Requests spent slots of all services above and then failed, the important ones as often as the others. Cause: the throttle looked at intervals of 150 ms and took one with fewer than two outcomes for a sign that all is well. A node with one or two requests a second of a service never has two, so that it never throttled. Change: a node that is offered fewer than four requests in an interval waits for outcomes for up to a second; one outcome of a long interval counts, with as many steps of reduction as it lasted, four at most; without outcomes it admits more again at half the speed. Nodes with more requests do as before.

--- a/packages/mesh/src/process/downstream-throttle.ts
+++ b/packages/mesh/src/process/downstream-throttle.ts
@@ -4,7 +4,8 @@
  * Protects against overload of a service deep in the call graph: a request needs all of its downstream calls, so when
  * some of them are refused, most requests fail after they have consumed capacity in all services above. Nodes report
  * the fraction of downstream calls that were refused; the entry node admits fewer requests until refusals are rare,
- * and rejects the least important requests first.
+ * and rejects the least important requests first. In a large fleet each entry node gets few requests of a service, and
+ * waits longer for their outcomes.
  */
 import type { Clock } from "@radishrouter/core";
 
@@ -27,6 +28,8 @@
 
 interface ServiceRecord {
     readonly classes: readonly PriorityClass[];
+    /** Requests in the current interval, admitted or not. */
+    offeredCount: number;
     sampleCount: number;
     pressureSum: number;
     adjustedAtMs: number;
@@ -39,6 +42,13 @@
 const PRESSURE_LIMITS = [0.2, 0.1, 0.04] as const;
 const ADJUST_INTERVAL_MS = 150;
 const MINIMUM_SAMPLES = 2;
+/** A node that gets fewer requests than this in an interval waits longer for outcomes. */
+const MINIMUM_OFFERED = 4;
+const MAXIMUM_INTERVAL_MS = 1_000;
+/** Recovery takes longer where few requests come and no outcome has shown that the overload is over. */
+const UNINFORMED_STEP_MS = 300;
+/** Steps of a long interval that count for the reduction after it. */
+const MAXIMUM_REDUCTION_STEPS = 4;
 const RECOVERY_FACTOR = 1.12;
 const RECOVERY_STEP = 0.01;
 const MAXIMUM_REDUCTION = 0.3;
@@ -67,6 +77,7 @@
         if (!record) {
             return ADMITTED;
         }
+        record.offeredCount++;
         this.adjust(record);
         const { admittedFraction } = record.classes[Math.min(priority, record.classes.length - 1)]!;
         if (admittedFraction >= 1 || this.random() < admittedFraction) {
@@ -100,15 +111,18 @@
 
     private adjust(record: ServiceRecord): void {
         const nowMs = this.clock.nowMs();
-        if (nowMs - record.adjustedAtMs < ADJUST_INTERVAL_MS) {
+        const elapsedMs = nowMs - record.adjustedAtMs;
+        const isRare = record.offeredCount < MINIMUM_OFFERED;
+        if (elapsedMs < (isRare ? MAXIMUM_INTERVAL_MS : ADJUST_INTERVAL_MS)) {
             return;
         }
-        const steps = Math.floor((nowMs - record.adjustedAtMs) / ADJUST_INTERVAL_MS);
-        const pressure = record.sampleCount >= MINIMUM_SAMPLES ? record.pressureSum / record.sampleCount : 0;
-        record.lastPressure = pressure;
-        record.classes.forEach(priorityClass => adjustClass(priorityClass, pressure, steps));
+        record.lastPressure = pressureOf(record, elapsedMs);
+        const isUninformed = isRare && record.sampleCount === 0;
+        const steps = Math.floor(elapsedMs / (isUninformed ? UNINFORMED_STEP_MS : ADJUST_INTERVAL_MS));
+        record.classes.forEach(priorityClass => adjustClass(priorityClass, record.lastPressure, steps));
         const isThrottled = record.classes.some(({ admittedFraction }) => admittedFraction < 1);
         record.throttledSinceMs = isThrottled ? record.throttledSinceMs ?? nowMs : undefined;
+        record.offeredCount = 0;
         record.sampleCount = 0;
         record.pressureSum = 0;
         record.adjustedAtMs = nowMs;
@@ -119,6 +133,7 @@
     const classes = PRESSURE_LIMITS.map(pressureLimit => ({ admittedFraction: 1, pressureLimit }));
     return {
         classes,
+        offeredCount: 0,
         sampleCount: 0,
         pressureSum: 0,
         adjustedAtMs: nowMs,
@@ -127,12 +142,20 @@
     };
 }
 
+/** Mean pressure of an interval; 0 if too few outcomes show it. Each outcome of a long interval counts. */
+function pressureOf({ sampleCount, pressureSum }: ServiceRecord, intervalMs: number): number {
+    const minimumSamples = intervalMs > 2 * ADJUST_INTERVAL_MS ? 1 : MINIMUM_SAMPLES;
+    return sampleCount >= minimumSamples ? pressureSum / sampleCount : 0;
+}
+
+/** Adjusts a class after an interval of some steps of {@link ADJUST_INTERVAL_MS}. */
 function adjustClass(priorityClass: PriorityClass, pressure: number, steps: number): void {
     if (pressure > priorityClass.pressureLimit) {
         const reduction = Math.min(MAXIMUM_REDUCTION, pressure);
+        const keptFraction = (1 - reduction) ** Math.min(steps, MAXIMUM_REDUCTION_STEPS);
         priorityClass.admittedFraction = Math.max(
             MINIMUM_ADMITTED_FRACTION,
-            priorityClass.admittedFraction * (1 - reduction),
+            priorityClass.admittedFraction * keptFraction,
         );
         return;
     }
