Keep the retries of a fleet within their reserve where there are more nodes than retries in it

Change: in a fleet with more nodes than retries in the reserve, only so many nodes, by hash of the service, start with one; the others earn theirs by requests. Test: "the retries of 300 nodes stay within the published ratio and reserve over 1 requests each" failed before.

--- a/packages/mesh/src/process/fleet-view.ts
+++ b/packages/mesh/src/process/fleet-view.ts
@@ -1,6 +1,7 @@
 /**
  * What a node derives from the list of hosts: the hosts of the fleet, its own among them, and whom it follows.
  */
+import { highestScoringNames } from "@radishrouter/core";
 import { planRelay } from "./relay-tree.js";
 import type { FleetHost, RelayPlan } from "./relay-tree.js";
 
@@ -32,6 +33,12 @@
         return this.currentPlan;
     }
 
+    /** Position of the local host, from 0, in an order of all hosts that is the same on every host; differs by key. */
+    positionOf(key: string): number {
+        const addresses = this.hosts.map(({ address }) => address);
+        return highestScoringNames(key, addresses, addresses.length).indexOf(this.localHost.address);
+    }
+
     private update(): void {
         const listed = this.listHosts();
         if (listed === this.listed) {
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -278,10 +278,10 @@
     private retryBudgetOf(service: string): ServiceRetryBudget {
         let retryBudget = this.retryBudgets.get(service);
         if (!retryBudget) {
-            retryBudget = ServiceRetryBudget.create(
-                this.settings.retryBudgetLimits,
-                () => this.fleet.hosts.length,
-            );
+            retryBudget = ServiceRetryBudget.create(this.settings.retryBudgetLimits, {
+                nodeCount: () => this.fleet.hosts.length,
+                position: () => this.fleet.positionOf(service),
+            });
             this.retryBudgets.set(service, retryBudget);
         }
         return retryBudget;
--- a/packages/mesh/src/process/service-retry-budget.ts
+++ b/packages/mesh/src/process/service-retry-budget.ts
@@ -19,23 +19,31 @@
  */
 const RATIO_FRACTION_PER_HOP = 0.25;
 const RESERVE_FRACTION_PER_HOP = 0.25;
-const MINIMUM_RESERVE = 1;
+/** Tokens that a node can hold whose share of the reserve is less than one. */
+const MINIMUM_CAPACITY = 1;
+
+/** Position of this node in the fleet. */
+export interface FleetPosition {
+    readonly nodeCount: () => number;
+    /** Position in an order of all nodes that every node knows, from 0. */
+    readonly position: () => number;
+}
 
 /** Retries that this node may still send to one service. */
 export class ServiceRetryBudget {
     private tokens: number;
 
-    private constructor(private readonly limits: RetryBudgetLimits, private readonly nodeCount: () => number) {
-        this.tokens = this.reserve();
+    private constructor(private readonly limits: RetryBudgetLimits, private readonly fleet: FleetPosition) {
+        this.tokens = this.initialTokens();
     }
 
-    static create(limits: RetryBudgetLimits, nodeCount: () => number): ServiceRetryBudget {
-        return new ServiceRetryBudget(limits, nodeCount);
+    static create(limits: RetryBudgetLimits, fleet: FleetPosition): ServiceRetryBudget {
+        return new ServiceRetryBudget(limits, fleet);
     }
 
     /** Counts a request, which adds to the budget; retries of it are not counted. */
     recordRequest(): void {
-        this.tokens = Math.min(this.reserve(), this.tokens + this.limits.ratio * RATIO_FRACTION_PER_HOP);
+        this.tokens = Math.min(this.capacity(), this.tokens + this.limits.ratio * RATIO_FRACTION_PER_HOP);
     }
 
     /** Takes one retry from the budget; returns false when the budget is exhausted. */
@@ -47,11 +55,15 @@
         return true;
     }
 
-    /** Share of the reserve of one node, which is also the maximum of its tokens. */
-    private reserve(): number {
-        return Math.max(
-            MINIMUM_RESERVE,
-            this.limits.reserve * RESERVE_FRACTION_PER_HOP / Math.max(1, this.nodeCount()),
-        );
+    /** Share of the reserve; in a fleet with more nodes than retries in the reserve, only some nodes start with one. */
+    private initialTokens(): number {
+        const mayStartWithOne = this.fleet.nodeCount() <= this.limits.reserve ||
+            this.fleet.position() < Math.floor(this.limits.reserve);
+        return mayStartWithOne ? this.capacity() : 0;
+    }
+
+    private capacity(): number {
+        const share = this.limits.reserve * RESERVE_FRACTION_PER_HOP / Math.max(1, this.fleet.nodeCount());
+        return Math.max(MINIMUM_CAPACITY, share);
     }
 }
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -60,22 +60,26 @@
     assert.equal(directory.findByAddress("10.0.0.9", 80)?.instance, "late");
 });
 
-test("the retries of all nodes together stay within the published ratio and reserve", () => {
-    const nodes = 12;
-    const limits = { ratio: 0.2, reserve: 48 };
-    const budgets = Array.from({ length: nodes }, () => ServiceRetryBudget.create(limits, () => nodes));
-    let requests = 0;
-    let retries = 0;
-    for (let round = 0; round < 500; round++) {
-        for (const budget of budgets) {
-            budget.recordRequest();
-            requests++;
-            retries += budget.tryTake() ? 1 : 0;
+for (const { nodes, rounds } of [{ nodes: 12, rounds: 500 }, { nodes: 300, rounds: 1 }, { nodes: 300, rounds: 500 }]) {
+    test(`the retries of ${nodes} nodes stay within the published ratio and reserve over ${rounds} requests each`, () => {
+        const limits = { ratio: 0.2, reserve: 48 };
+        const budgets = Array.from(
+            { length: nodes },
+            (_, position) => ServiceRetryBudget.create(limits, { nodeCount: () => nodes, position: () => position }),
+        );
+        let requests = 0;
+        let retries = 0;
+        for (let round = 0; round < rounds; round++) {
+            for (const budget of budgets) {
+                budget.recordRequest();
+                requests++;
+                retries += budget.tryTake() ? 1 : 0;
+            }
         }
-    }
-    assert.ok(retries > 0);
-    assert.ok(retries <= limits.ratio * requests + limits.reserve, `${retries} retries for ${requests} requests`);
-});
+        assert.ok(retries > 0);
+        assert.ok(retries <= limits.ratio * requests + limits.reserve, `${retries} retries for ${requests} requests`);
+    });
+}
 
 test("a peer that announced a planned stop is used again after some time", () => {
     const clock = ManualClock.create();
