Send requests elsewhere once a node has not responded to a ping for a while

Change: a node that has been silent for 0.3 s, a tenth of a second of it after a ping, is in doubt. Servers beside such nodes get no new requests while there are others, until the node is heard again or counts as unresponsive; what is already sent is waited for as before. A wrong doubt costs a choice of server, no request. Tests: response-monitor (in doubt after 0.3 to 0.35 s, never with responses, not when this process was late), placement (avoided, used if there is no other, used again after a response; a refusal is not forgotten by it).

--- a/packages/mesh/src/connection/peer-client.ts
+++ b/packages/mesh/src/connection/peer-client.ts
@@ -25,6 +25,8 @@
     readonly isInFleet: (address: string) => boolean;
     /** Called with the state that the node at an address reported for itself and its backend server. */
     readonly onState: (address: string, state: NodeState) => void;
+    /** Called when a peer has not responded to a ping for a while. */
+    readonly onDoubtful: (address: string) => void;
     /** Called with tokens that a peer granted after the request for them had timed out. */
     readonly onLateTokens: (organisation: string, granted: number) => void;
 }
@@ -122,7 +124,7 @@
     }
 
     private openLink(address: string): PeerLink {
-        const { clock, peerPort, onState } = this.dependencies;
+        const { clock, peerPort, onState, onDoubtful } = this.dependencies;
         const link: PeerLink = PeerLink.create({
             clock,
             address,
@@ -133,6 +135,7 @@
                     this.markFailed(address, "stopping");
                 }
             },
+            onDoubtful: () => onDoubtful(address),
             onUnavailable: cause => {
                 if (this.links.get(address) === link) {
                     this.links.delete(address);
@@ -183,7 +186,14 @@
                 resolve(isAlive);
             };
             const onState = (state: NodeState) => end(!state.isStopping);
-            const link = PeerLink.create({ clock, address, port: peerPort, onState, onUnavailable: () => end(false) });
+            const link = PeerLink.create({
+                clock,
+                address,
+                port: peerPort,
+                onState,
+                onDoubtful: () => undefined,
+                onUnavailable: () => end(false),
+            });
             const timer = clock.setTimer(PROBE_TIMEOUT_MS, () => end(false));
         });
     }
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -28,6 +28,8 @@
     readonly port: number;
     /** Called with the state that the peer reports. */
     readonly onState: (state: NodeState) => void;
+    /** Called when the peer has not responded to a ping for a while. */
+    readonly onDoubtful: () => void;
     /** Called once, when the link accepts no new calls. */
     readonly onUnavailable: (cause: "unreachable" | "silent" | "closed") => void;
 }
@@ -94,6 +96,7 @@
             clock: options.clock,
             isWaiting: () => this.hasPingedCalls(),
             ping: () => this.ping(),
+            onDoubtful: options.onDoubtful,
             onUnresponsive: () => this.abandonCalls(),
         });
         this.socket = connect({ host: options.address, port: options.port, noDelay: true });
--- a/packages/mesh/src/connection/response-monitor.ts
+++ b/packages/mesh/src/connection/response-monitor.ts
@@ -13,23 +13,37 @@
     /** Whether the peer owes a response. */
     readonly isWaiting: () => boolean;
     readonly ping: () => void;
+    /** Called when a ping has had no response for a while; the peer may be cut off. */
+    readonly onDoubtful: () => void;
     /** Called when the peer counts as unresponsive; the monitor has stopped then. */
     readonly onUnresponsive: () => void;
 }
 
 /** Time without a message after which the peer is pinged. */
 const PING_AFTER_MS = 200;
+/** Time without a message, most of it after a ping, after which the peer is in doubt. */
+const DOUBTFUL_AFTER_MS = 300;
 /** Time without a message after which the peer counts as unresponsive. */
 const UNRESPONSIVE_AFTER_MS = 550;
 /** If a check runs this late, this process was delayed itself and may not have read the peer's messages yet. */
 const MAXIMUM_DELAY_MS = 80;
-const MINIMUM_CHECK_INTERVAL_MS = 100;
+const MINIMUM_CHECK_INTERVAL_MS = 50;
+
+/** How far the silence of a peer has led. */
+type SilenceStage = "heard" | "pinged" | "doubtful";
+
+/** Silence at which each stage ends. */
+const STAGE_LIMITS_MS: Readonly<Record<SilenceStage, number>> = {
+    heard: PING_AFTER_MS,
+    pinged: DOUBTFUL_AFTER_MS,
+    doubtful: UNRESPONSIVE_AFTER_MS,
+};
 
 /** Watches one peer while it owes responses. */
 export class ResponseMonitor {
     private lastHeardAtMs: number;
-    /** Whether the peer was pinged since it was last heard. */
-    private hasPinged = false;
+    /** What was concluded since the peer was last heard. */
+    private stage: SilenceStage = "heard";
     private isStopped = false;
     private timer: Timer | undefined;
 
@@ -44,7 +58,7 @@
     /** Records that a message of the peer was read. */
     recordMessage(): void {
         this.lastHeardAtMs = this.options.clock.nowMs();
-        this.hasPinged = false;
+        this.stage = "heard";
     }
 
     /** Starts watching, if the peer owes a response and is not watched yet. */
@@ -64,30 +78,38 @@
 
     private schedule(): void {
         const { clock } = this.options;
-        const limitMs = this.hasPinged ? UNRESPONSIVE_AFTER_MS : PING_AFTER_MS;
-        const remainingMs = this.lastHeardAtMs + limitMs - clock.nowMs();
+        const remainingMs = this.lastHeardAtMs + STAGE_LIMITS_MS[this.stage] - clock.nowMs();
         const delayMs = alignedDelayMs(clock, Math.max(MINIMUM_CHECK_INTERVAL_MS, remainingMs));
         const dueAtMs = clock.nowMs() + delayMs;
         this.timer = clock.setTimer(delayMs, () => this.check(dueAtMs));
     }
 
     private check(dueAtMs: number): void {
-        const { clock, isWaiting, ping, onUnresponsive } = this.options;
+        const { clock, isWaiting, onUnresponsive } = this.options;
         this.timer = undefined;
         if (this.isStopped || !isWaiting()) {
             return;
         }
         const nowMs = clock.nowMs();
         const silentMs = nowMs - this.lastHeardAtMs;
-        if (silentMs > UNRESPONSIVE_AFTER_MS && nowMs - dueAtMs < MAXIMUM_DELAY_MS) {
+        const isLate = nowMs - dueAtMs >= MAXIMUM_DELAY_MS;
+        if (silentMs > UNRESPONSIVE_AFTER_MS && !isLate) {
             this.stop();
             onUnresponsive();
             return;
         }
-        if (silentMs >= PING_AFTER_MS && !this.hasPinged) {
-            this.hasPinged = true;
-            ping();
-        }
+        this.advance(silentMs, isLate);
         this.schedule();
     }
+
+    private advance(silentMs: number, isLate: boolean): void {
+        if (this.stage === "heard" && silentMs >= PING_AFTER_MS) {
+            this.stage = "pinged";
+            this.options.ping();
+        }
+        else if (this.stage === "pinged" && silentMs >= DOUBTFUL_AFTER_MS && !isLate) {
+            this.stage = "doubtful";
+            this.options.onDoubtful();
+        }
+    }
 }
--- a/packages/mesh/src/process/load-balancer.ts
+++ b/packages/mesh/src/process/load-balancer.ts
@@ -26,6 +26,8 @@
     /** Fraction of the recent attempts that failed at the server. */
     failedFraction: number;
     avoidUntilMs: number;
+    /** Whether the server is avoided only because the node on its host does not respond. */
+    isDoubtful: boolean;
 }
 
 /** Location of the node that chooses. */
@@ -55,6 +57,8 @@
 const VERDICT_WEIGHT = 0.08;
 const AVOID_AFTER_REFUSAL_MS = 60;
 const AVOID_AFTER_LOSS_MS = 400;
+/** Within this time the node in doubt responds, or counts as unresponsive. */
+const AVOID_WHILE_DOUBTFUL_MS = 400;
 
 /** Load of the servers as this node observes it, by host address, and the choice among them. */
 export class LoadBalancer {
@@ -103,12 +107,31 @@
         observation.othersInFlight = Math.max(0, load.open + load.waiting - observation.localInFlight);
         observation.onwardPressure = onwardPressure;
         observation.reportedAtMs = this.clock.nowMs();
+        if (observation.isDoubtful) {
+            observation.isDoubtful = false;
+            observation.avoidUntilMs = 0;
+        }
+    }
+
+    /**
+     * Avoids the server at an address until the node there responds again: behind a cut, whatever is sent there is lost,
+     * and some requests cannot be sent again.
+     */
+    doubt(hostAddress: string): void {
+        const observation = this.observations.get(hostAddress);
+        const untilMs = this.clock.nowMs() + AVOID_WHILE_DOUBTFUL_MS;
+        if (observation && observation.avoidUntilMs < untilMs) {
+            observation.isDoubtful = true;
+            observation.avoidUntilMs = untilMs;
+        }
     }
 
     /** Avoids a server for a short time after it refused a request or could not be reached. */
     avoid(server: KnownServer, cause: "refusal" | "loss"): void {
         const durationMs = cause === "refusal" ? AVOID_AFTER_REFUSAL_MS : AVOID_AFTER_LOSS_MS;
-        this.observationOf(server).avoidUntilMs = this.clock.nowMs() + durationMs;
+        const observation = this.observationOf(server);
+        observation.avoidUntilMs = this.clock.nowMs() + durationMs;
+        observation.isDoubtful = false;
     }
 
     /** Removes what is known about the server at a host, after the server has left. */
@@ -171,6 +194,7 @@
                 reportedAtMs: this.clock.nowMs(),
                 failedFraction: 0,
                 avoidUntilMs: 0,
+                isDoubtful: false,
             };
             this.observations.set(server.hostAddress, observation);
         }
--- a/packages/mesh/src/test/peer-link.test.ts
+++ b/packages/mesh/src/test/peer-link.test.ts
@@ -56,6 +56,7 @@
         address: "127.0.0.1",
         port,
         onState: () => undefined,
+        onDoubtful: () => undefined,
         onUnavailable,
     });
 }
--- a/packages/mesh/src/test/placement.test.ts
+++ b/packages/mesh/src/test/placement.test.ts
@@ -57,6 +57,27 @@
     assert.ok(chosen.every(instance => instance === "near-too"));
 });
 
+test("a server beside a node that does not respond is avoided until the node responds or there is no other", () => {
+    const clock = ManualClock.create();
+    const balancer = LoadBalancer.create(clock, () => 0);
+    balancer.choose(createRequest([near, far]));
+    balancer.doubt(near.hostAddress);
+    assert.equal(balancer.choose(createRequest([near, far]))?.instance, "far");
+    assert.equal(balancer.choose(createRequest([near]))?.instance, "near", "it may respond");
+    balancer.report(near.hostAddress, { open: 0, waiting: 0, limit: 10 }, 0);
+    assert.equal(balancer.choose(createRequest([near, far]))?.instance, "near");
+});
+
+test("a response of the node does not end the avoidance of a server that refused a request", () => {
+    const clock = ManualClock.create();
+    const balancer = LoadBalancer.create(clock, () => 0);
+    balancer.choose(createRequest([near, far]));
+    balancer.doubt(near.hostAddress);
+    balancer.avoid(near, "refusal");
+    balancer.report(near.hostAddress, { open: 0, waiting: 0, limit: 10 }, 0);
+    assert.equal(balancer.choose(createRequest([near, far]))?.instance, "far");
+});
+
 test("a load report decays, so that a server that was full gets requests again", () => {
     const clock = ManualClock.create();
     const balancer = LoadBalancer.create(clock, () => 0);
--- a/packages/mesh/src/test/response-monitor.test.ts
+++ b/packages/mesh/src/test/response-monitor.test.ts
@@ -10,6 +10,7 @@
 let isWaiting: boolean;
 let isAlive: boolean;
 let pings: number[];
+let doubtfulAtMs: number | undefined;
 let unresponsiveAtMs: number | undefined;
 let monitor: ResponseMonitor;
 
@@ -20,6 +21,7 @@
     isWaiting = false;
     isAlive = true;
     pings = [];
+    doubtfulAtMs = undefined;
     unresponsiveAtMs = undefined;
     monitor = ResponseMonitor.create({
         clock,
@@ -28,6 +30,9 @@
             pings.push(clock.nowMs());
             clock.setTimer(ROUND_TRIP_MS, () => isAlive ? monitor.recordMessage() : undefined);
         },
+        onDoubtful: () => {
+            doubtfulAtMs = clock.nowMs();
+        },
         onUnresponsive: () => {
             unresponsiveAtMs = clock.nowMs();
         },
@@ -58,10 +63,11 @@
 
 test("a peer that responds to pings is not unresponsive, however long a call takes", () => {
     call(20_000);
+    assert.equal(doubtfulAtMs, undefined);
     assert.equal(unresponsiveAtMs, undefined);
 });
 
-test("a peer that falls silent is noticed within 0.65 s, and has 0.25 s at least to respond to a ping", () => {
+test("a peer that falls silent is in doubt after 0.35 s and noticed within 0.65 s, and has 0.25 s at least to respond to a ping", () => {
     for (let offsetMs = 0; offsetMs < 50; offsetMs += 7) {
         start(1_000 + offsetMs);
         const startedAtMs = clock.nowMs();
@@ -69,6 +75,8 @@
         call(700);
         const noticedAfterMs = (unresponsiveAtMs ?? Infinity) - startedAtMs;
         assert.ok(noticedAfterMs > 550 && noticedAfterMs <= 650, `noticed after ${noticedAfterMs} ms`);
+        const doubtfulAfterMs = (doubtfulAtMs ?? Infinity) - startedAtMs;
+        assert.ok(doubtfulAfterMs >= 300 && doubtfulAfterMs <= 350, `in doubt after ${doubtfulAfterMs} ms`);
         const responseTimeMs = startedAtMs + noticedAfterMs - pings[0]!;
         assert.ok(responseTimeMs >= 250, `${responseTimeMs} ms to respond`);
     }
