Have a fleet that starts ask the platform less often

From the logs: each node watches for 0.8 s at a time while nothing is published, comes back 0.2 s after each server that registers, and asks again after each peer that is starting as well. Change: while neither a configuration nor a server is published, a watch waits 2.5 s; in the first 5 s of a process it comes back 1 s after a change, which stays within the time for changes to be in force; a peer that cannot help a starting node makes it ask the next one, not the platform, which it has just read.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./process/body-budget.js";
 export * from "./process/downstream-pressure.js";
 export * from "./process/downstream-throttle.js";
+export * from "./process/fleet-view.js";
 export * from "./process/load-balancer.js";
 export * from "./process/local-instance.js";
 export * from "./process/mesh-metrics.js";
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -45,12 +45,17 @@
 const OUTDATED_FRACTION = 0.48;
 const MAXIMUM_PLATFORM_WAIT_MS = 800;
 const MAXIMUM_PEER_WAIT_MS = 500;
+/** Wait for the first change; it serves no lease. */
+const NOTHING_PUBLISHED_WAIT_MS = 2_500;
 /** A check on the platform returns at once. */
 const PLATFORM_CHECK_WAIT_MS = 1;
 const INITIAL_RETRY_DELAY_MS = 100;
 const MAXIMUM_RETRY_DELAY_MS = 800;
 /** Delay before the next question after a change, so that further changes shortly after it come in one answer. */
 const CHANGE_BATCHING_DELAY_MS = 200;
+/** The same in the first seconds of a process, short enough for changes to be in force in time. */
+const START_BATCHING_DELAY_MS = 1_000;
+const START_PERIOD_MS = 5_000;
 /** Longest random delay before everything is read again, so that nodes do not read together. */
 const READ_AGAIN_JITTER_MS = 100;
 /** Peers that a node asks at its start whether a newer configuration was in force before. */
@@ -87,9 +92,11 @@
     /** Proof that counts as soon as the first questions are answered. */
     private heldProof: ClockReading | undefined;
     private readonly waits: FollowWaits;
+    private readonly startedAtMs: number;
 
     private constructor(private readonly dependencies: StateFollowerDependencies) {
         this.waits = waitsFor(dependencies.lease.durationMs ?? DEFAULT_LEASE_MS);
+        this.startedAtMs = dependencies.clock.nowMs();
         this.outage = PlatformOutage.create(dependencies.clock);
         this.reportedVersion = ReportedVersion.create(dependencies.clock);
     }
@@ -142,9 +149,8 @@
         const sentAt = lease.now();
         const { position } = state;
         try {
-            const waitMs = isCheck || this.outage.isFailing ? PLATFORM_CHECK_WAIT_MS : this.waits.platformWaitMs;
             const update = position && !this.mustReadAll ?
-                await reader.watch(position, waitMs) :
+                await reader.watch(position, this.platformWaitMs(isCheck)) :
                 await reader.readAll();
             this.mustReadAll = false;
             this.recordPlatformAnswer();
@@ -152,7 +158,7 @@
             selector.recordPlatformAnswer();
             this.renewLease(sentAt);
             if (changed.length > 0 && !isCheck) {
-                await this.delay(CHANGE_BATCHING_DELAY_MS);
+                await this.delay(this.changeBatchingDelayMs());
             }
         }
         catch (error) {
@@ -160,6 +166,25 @@
         }
     }
 
+    private platformWaitMs(isCheck: boolean): number {
+        if (isCheck || this.outage.isFailing) {
+            return PLATFORM_CHECK_WAIT_MS;
+        }
+        return this.isNothingPublished() ? NOTHING_PUBLISHED_WAIT_MS : this.waits.platformWaitMs;
+    }
+
+    /** Whether there is nothing yet that a proof could be about, as at the start of a fleet. */
+    private isNothingPublished(): boolean {
+        const { activeConfigurationVersion, directory } = this.dependencies;
+        return activeConfigurationVersion() === undefined && directory.fleetHosts.length === 0;
+    }
+
+    /** While a fleet starts, each node learns of the others from the platform, many changes one after another. */
+    private changeBatchingDelayMs(): number {
+        const isStarting = this.dependencies.clock.nowMs() - this.startedAtMs < START_PERIOD_MS;
+        return isStarting ? START_BATCHING_DELAY_MS : CHANGE_BATCHING_DELAY_MS;
+    }
+
     /** Asks a peer; whatever it replies, or fails to reply, the node goes on. */
     private async askPeer(address: string): Promise<void> {
         const { state, lease, selector, log, askPeer } = this.dependencies;
@@ -219,13 +244,16 @@
     }
 
     private recordPeerFailure(address: string, failure: SourceFailure): void {
-        if (this.firstQuestionsLeft > 0) {
-            this.firstQuestionsLeft--;
-            if (this.firstQuestionsLeft === 0) {
-                this.endFirstQuestions();
-            }
+        const { selector } = this.dependencies;
+        if (this.firstQuestionsLeft === 0) {
+            selector.recordPeerFailure(address, failure);
+            return;
+        }
+        selector.recordPeerFailureAtStart(address, failure);
+        this.firstQuestionsLeft--;
+        if (this.firstQuestionsLeft === 0) {
+            this.endFirstQuestions();
         }
-        this.dependencies.selector.recordPeerFailure(address, failure);
     }
 
     private endFirstQuestions(): void {
--- a/packages/mesh/src/process/update-source-selector.ts
+++ b/packages/mesh/src/process/update-source-selector.ts
@@ -85,14 +85,17 @@
      * be asked: many hosts may follow a host that ends.
      */
     recordPeerFailure(address: string, failure: SourceFailure): void {
-        const durationMs = failure === "outdated" ? AVOID_OUTDATED_MS : AVOID_AFTER_NO_ANSWER_MS;
-        this.forgetExpired();
-        this.avoidedUntilMs.set(address, this.clock.nowMs() + durationMs);
+        this.avoid(address, failure);
         const canAskAnother = failure === "connection-lost" &&
             this.firstUsable(this.inputs.plan().ancestors) !== undefined;
         this.isPlatformNext = !this.isPlatformFailing() && !canAskAnother;
     }
 
+    /** Records a peer that did not help a starting node, which has just read the platform. */
+    recordPeerFailureAtStart(address: string, failure: SourceFailure): void {
+        this.avoid(address, failure);
+    }
+
     /** Has the platform asked next, because what peers hand on has to be compared with it. */
     preferPlatform(): void {
         this.isPlatformNext = true;
@@ -111,6 +114,12 @@
         return (this.avoidedUntilMs.get(address) ?? 0) <= this.clock.nowMs() && this.inputs.isReachable(address);
     }
 
+    private avoid(address: string, failure: SourceFailure): void {
+        const durationMs = failure === "outdated" ? AVOID_OUTDATED_MS : AVOID_AFTER_NO_ANSWER_MS;
+        this.forgetExpired();
+        this.avoidedUntilMs.set(address, this.clock.nowMs() + durationMs);
+    }
+
     private forgetExpired(): void {
         const nowMs = this.clock.nowMs();
         for (const [address, untilMs] of this.avoidedUntilMs) {
