Take an outage of the platform from old proofs, not from one node's failed questions

Change: an outage is what makes proofs grow old, whoever hands them on (2 s of a lease of 5 s); only a process that starts takes another node's word for it. Tests: "a platform that fails for this node only is no outage ..." and "an outage that only another node saw ... is none" failed before. Ruled out: the standby of roots and the order after lost connections (in the logs the removal is learned 0.2 s after it).

--- a/packages/mesh/src/process/platform-outage.ts
+++ b/packages/mesh/src/process/platform-outage.ts
@@ -1,7 +1,9 @@
 /**
- * What this node knows of the last outage of the platform, its own or one that another node handed on.
+ * What this node knows of the last outage of the platform, for all of the fleet.
  *
- * Entries of running servers lapse during an outage, and their servers write them again soon after it.
+ * Entries of running servers lapse during an outage, and their servers write them again soon after it. An outage shows by
+ * proofs that grow old at every node; a node that the platform turns away, or that is cut off from it, still gets proofs
+ * from other nodes.
  */
 import type { Clock } from "@radishrouter/core";
 
@@ -11,13 +13,14 @@
 /** The last outage of the platform. */
 export class PlatformOutage {
     private failing = false;
-    /** Time at which the platform failed last or, once it answers again, at which it first did. */
+    /** Time at which the platform was first known to answer again. */
     private endedAtMs = -Infinity;
 
-    private constructor(private readonly clock: Clock) {}
+    private constructor(private readonly clock: Clock, private readonly minimumProofAgeMs: number) {}
 
-    static create(clock: Clock): PlatformOutage {
-        return new PlatformOutage(clock);
+    /** `minimumProofAgeMs` is the age of the last proof from which the platform counts as having been down. */
+    static create(clock: Clock, minimumProofAgeMs: number): PlatformOutage {
+        return new PlatformOutage(clock, minimumProofAgeMs);
     }
 
     /** Whether the platform did not answer when this node asked it last. */
@@ -25,25 +28,25 @@
         return this.failing;
     }
 
-    /** Records that the platform did not answer; returns whether it did before. */
+    /** Records that the platform did not answer this node; returns whether it did before. */
     recordFailure(): boolean {
         const isFirst = !this.failing;
         this.failing = true;
-        this.endedAtMs = this.clock.nowMs();
         return isFirst;
     }
 
-    /**
-     * Records an answer of the platform; returns whether it had failed before. Servers write lapsed entries again when
-     * the platform is back, which may be long after the last failure.
-     */
+    /** Records an answer of the platform to this node; returns whether it had failed before. */
     recordAnswer(): boolean {
         const isRegained = this.failing;
-        if (isRegained) {
-            this.failing = false;
+        this.failing = false;
+        return isRegained;
+    }
+
+    /** Records news of the platform, from itself or handed on, with the age of the last proof before it. */
+    recordNews(lastProofAgeMs: number): void {
+        if (Number.isFinite(lastProofAgeMs) && lastProofAgeMs > this.minimumProofAgeMs) {
             this.endedAtMs = this.clock.nowMs();
         }
-        return isRegained;
     }
 
     /** Records that the platform came back from an older copy, from which entries may be missing. */
@@ -51,7 +54,7 @@
         this.endedAtMs = this.clock.nowMs();
     }
 
-    /** Records what another node knows; a time that is no number says nothing. */
+    /** Records what another node knows, for a node that has just started; a time that is no number says nothing. */
     recordReport(sinceOutageMs: number): void {
         const endedAtMs = this.clock.nowMs() - Math.max(0, sinceOutageMs);
         if (endedAtMs > this.endedAtMs) {
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -43,6 +43,8 @@
 const PLATFORM_WAIT_FRACTION = 0.16;
 const PEER_WAIT_FRACTION = 0.1;
 const OUTDATED_FRACTION = 0.48;
+/** Above what the loss of a source costs, and below an outage in which entries lapse. */
+const OUTAGE_FRACTION = 0.4;
 const MAXIMUM_PLATFORM_WAIT_MS = 800;
 const MAXIMUM_PEER_WAIT_MS = 500;
 /** Wait for the first change; it serves no lease. */
@@ -69,6 +71,8 @@
     readonly peerWaitMs: number;
     /** Age of its last proof from which a peer no longer counts as current. */
     readonly outdatedAfterMs: number;
+    /** Age of the last proof, from whatever source, from which the platform counts as down for all nodes. */
+    readonly outageProofAgeMs: number;
 }
 
 function waitsFor(leaseMs: number): FollowWaits {
@@ -76,6 +80,7 @@
         platformWaitMs: Math.ceil(Math.min(MAXIMUM_PLATFORM_WAIT_MS, leaseMs * PLATFORM_WAIT_FRACTION)),
         peerWaitMs: Math.min(MAXIMUM_PEER_WAIT_MS, leaseMs * PEER_WAIT_FRACTION),
         outdatedAfterMs: leaseMs * OUTDATED_FRACTION,
+        outageProofAgeMs: leaseMs * OUTAGE_FRACTION,
     };
 }
 
@@ -97,7 +102,7 @@
     private constructor(private readonly dependencies: StateFollowerDependencies) {
         this.waits = waitsFor(dependencies.lease.durationMs ?? DEFAULT_LEASE_MS);
         this.startedAtMs = dependencies.clock.nowMs();
-        this.outage = PlatformOutage.create(dependencies.clock);
+        this.outage = PlatformOutage.create(dependencies.clock, this.waits.outageProofAgeMs);
         this.reportedVersion = ReportedVersion.create(dependencies.clock);
     }
 
@@ -154,6 +159,7 @@
                 await reader.readAll();
             this.mustReadAll = false;
             this.recordPlatformAnswer();
+            this.outage.recordNews(lease.ageMs());
             const changed = this.apply(update, state.applyFromPlatform(update), position);
             selector.recordPlatformAnswer();
             this.renewLease(sentAt);
@@ -212,10 +218,13 @@
         sentAt: ClockReading,
         position: StatePosition | undefined,
     ): void {
-        const { state } = this.dependencies;
+        const { state, lease } = this.dependencies;
         this.reportedVersion.record(report.configurationVersion);
-        this.outage.recordReport(report.sinceOutageMs);
+        if (this.firstQuestionsLeft > 0) {
+            this.outage.recordReport(report.sinceOutageMs);
+        }
         if (report.update) {
+            this.outage.recordNews(lease.ageMs());
             this.apply(report.update, state.apply(report.update), position);
         }
         const isOtherEra = report.position?.era !== state.position?.era;
