--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -150,7 +150,10 @@
             peerPort: settings.peers.port,
             isInFleet: address => this.directory.hasHost(address),
             onState: (address, { load, onwardPressure }) => this.balancer.report(address, load, onwardPressure),
-            onDoubtful: address => this.balancer.doubt(address),
+            onDoubtful: address => {
+                this.log.decision("peer-doubtful", { peer: address });
+                this.balancer.doubt(address);
+            },
             onLateTokens: (organisation, granted) => this.quota.receiveLate(organisation, granted),
         });
         this.peerServer = this.createPeerServer();
