--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -8,6 +8,8 @@
 import type { StateReport } from "../connection/link-message.js";
 import type { ClockReading, ConfigurationLease } from "../version/configuration-lease.js";
 import type { PublishedItem, PublishedState, StatePosition, StateUpdate } from "../version/published-state.js";
+import { followWaitsFor } from "./follow-waits.js";
+import type { FollowWaits } from "./follow-waits.js";
 import { PlatformOutage } from "./platform-outage.js";
 import type { PublishedItemApplier } from "./published-item-applier.js";
 import { PublishedStateError } from "./published-state-reader.js";
@@ -37,16 +39,6 @@
     readonly random?: () => number;
 }
 
-/** Lease that the waits are made for if keys need no proof that they are current. */
-const DEFAULT_LEASE_MS = 5_000;
-/** Fractions of the lease: two waits of the platform and one of a peer have to pass well before a proof is outdated. */
-const PLATFORM_WAIT_FRACTION = 0.16;
-const PEER_WAIT_FRACTION = 0.1;
-const OUTDATED_FRACTION = 0.48;
-/** Above what the loss of a source costs, and below an outage in which entries lapse. */
-const OUTAGE_FRACTION = 0.4;
-const MAXIMUM_PLATFORM_WAIT_MS = 800;
-const MAXIMUM_PEER_WAIT_MS = 500;
 /** Wait for the first change; it serves no lease. */
 const NOTHING_PUBLISHED_WAIT_MS = 2_500;
 /** A check on the platform returns at once. */
@@ -63,27 +55,6 @@
 /** Peers that a node asks at its start whether a newer configuration was in force before. */
 const MAXIMUM_FIRST_QUESTIONS = 3;
 
-/** Waits of a follower; they follow from the time within which a withdrawn key must be refused. */
-interface FollowWaits {
-    /** Time for which the platform may wait for changes; each answer renews the configuration lease of the fleet. */
-    readonly platformWaitMs: number;
-    /** Time for which a peer may wait for something newer; a peer that stops is noticed a little later. */
-    readonly peerWaitMs: number;
-    /** Age of its last proof from which a peer no longer counts as current. */
-    readonly outdatedAfterMs: number;
-    /** Age of the last proof, from whatever source, from which the platform counts as down for all nodes. */
-    readonly outageProofAgeMs: number;
-}
-
-function waitsFor(leaseMs: number): FollowWaits {
-    return {
-        platformWaitMs: Math.ceil(Math.min(MAXIMUM_PLATFORM_WAIT_MS, leaseMs * PLATFORM_WAIT_FRACTION)),
-        peerWaitMs: Math.min(MAXIMUM_PEER_WAIT_MS, leaseMs * PEER_WAIT_FRACTION),
-        outdatedAfterMs: leaseMs * OUTDATED_FRACTION,
-        outageProofAgeMs: leaseMs * OUTAGE_FRACTION,
-    };
-}
-
 /** Follows the published state until closed. */
 export class StateFollower {
     private closed = false;
@@ -100,7 +71,7 @@
     private readonly startedAtMs: number;
 
     private constructor(private readonly dependencies: StateFollowerDependencies) {
-        this.waits = waitsFor(dependencies.lease.durationMs ?? DEFAULT_LEASE_MS);
+        this.waits = followWaitsFor(dependencies.lease.durationMs);
         this.startedAtMs = dependencies.clock.nowMs();
         this.outage = PlatformOutage.create(dependencies.clock, this.waits.outageProofAgeMs);
         this.reportedVersion = ReportedVersion.create(dependencies.clock);
