Use a server whose entry goes alone no longer than one that leaves, also after an outage

What the code allows: a node whose proof is older than 2 s when it learns of the removal, as after several sources in a row that are cut off (four hosts were, until 24.5 s), counts that as an outage and keeps the server for up to 2.5 s, which is longer than the 2 s for which a server may be used here. Change: such a server is used for three fifths of the drain time; longer, until lapsed entries are back, only if at least half of its service is missing, which no planned leaving does. Tests: "a server whose entry goes alone after an outage is used no longer than one that leaves" fails without the limit; "servers that go missing with half of their service are used until lapsed entries are back" guards the outage.

--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -71,6 +71,8 @@
     readonly log: { readonly decisionLinesPerSecond: number; readonly successSampleInterval: number; };
 }
 
+/** Fraction of the drain time for which a server gets requests that may have left; the rest is for what is on its way. */
+const LEAVING_USE_FRACTION = 0.6;
 /** Time for which callers and peers still send requests to a node that has announced its stop. */
 const STOP_NOTICE_MS = 2_800;
 /** Time before the process is killed at which the requests still in flight are given up. */
@@ -112,7 +114,7 @@
     private constructor(private readonly settings: MeshNodeSettings, private readonly clock: Clock) {
         this.log = RequestLog.create(clock, { host: settings.host, ...settings.log });
         this.lease = ConfigurationLease.create(clock, settings.keyLeaseMs);
-        this.directory = ServerDirectory.create(clock);
+        this.directory = ServerDirectory.create(clock, settings.drainMs * LEAVING_USE_FRACTION);
         this.fleet = FleetView.create(
             { address: settings.hostAddress, failureDomain: settings.failureDomain },
             () => this.directory.fleetHosts,
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -67,10 +67,11 @@
     private readonly departed = new Map<string, DepartedServer>();
     private isLoaded = false;
 
-    private constructor(private readonly clock: Clock) {}
+    private constructor(private readonly clock: Clock, private readonly leavingUseMs: number) {}
 
-    static create(clock: Clock): ServerDirectory {
-        return new ServerDirectory(clock);
+    /** `leavingUseMs` is the time for which a server that leaves without notice may still get requests. */
+    static create(clock: Clock, leavingUseMs = Infinity): ServerDirectory {
+        return new ServerDirectory(clock, leavingUseMs);
     }
 
     /** Whether a complete list was read since the start. */
@@ -132,7 +133,8 @@
 
     /**
      * Removes an entry that disappeared from the platform. After an outage of the platform a lapsed entry does not prove
-     * that the server has left, so the server stays usable for `graceMs`, in which such entries come back.
+     * that the server has left, so the server stays usable for `graceMs`, in which such entries come back; but not longer
+     * than a server that leaves serves, unless at least half of its service is missing, as only an outage can cause.
      */
     remove(instance: string, graceMs: number, cause: string): void {
         const server = this.servers.get(instance);
@@ -146,7 +148,7 @@
         this.servers.set(instance, { ...server, missingSinceMs: this.clock.nowMs() });
         this.index = undefined;
         void this.events.emit("changed", { kind: "missing", server, cause });
-        this.clock.setTimer(graceMs, () => this.dropIfStillMissing(instance));
+        this.clock.setTimer(Math.min(graceMs, this.leavingUseMs), () => this.dropUnlessLapsed(instance, graceMs));
     }
 
     /** Records that a complete list was read. */
@@ -165,6 +167,21 @@
             server.sequence <= leaving.sequence;
     }
 
+    private dropUnlessLapsed(instance: string, graceMs: number): void {
+        const server = this.servers.get(instance);
+        if (server && graceMs > this.leavingUseMs && this.isMostlyMissing(server.service)) {
+            this.clock.setTimer(graceMs - this.leavingUseMs, () => this.dropIfStillMissing(instance));
+            return;
+        }
+        this.dropIfStillMissing(instance);
+    }
+
+    private isMostlyMissing(service: string): boolean {
+        const servers = [...this.servers.values()].filter(server => server.service === service);
+        const missing = servers.filter(server => server.missingSinceMs !== undefined);
+        return missing.length * 2 >= servers.length;
+    }
+
     private dropIfStillMissing(instance: string): void {
         const server = this.servers.get(instance);
         if (server?.missingSinceMs !== undefined) {
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -52,6 +52,30 @@
     assert.equal(directory.find("one"), undefined);
 });
 
+test("a server whose entry goes alone after an outage is used no longer than one that leaves", () => {
+    const clock = ManualClock.create();
+    const directory = ServerDirectory.create(clock, 1_200);
+    ["one", "two", "three"].forEach(instance => directory.upsert(createServer(instance), "test"));
+    directory.remove("one", PLATFORM_DISTURBED, "test");
+    clock.advance(1_199);
+    assert.ok(directory.find("one"));
+    clock.advance(1);
+    assert.equal(directory.find("one"), undefined);
+    assert.equal(directory.readyServers("catalogue").length, 2);
+});
+
+test("servers that go missing with half of their service are used until lapsed entries are back", () => {
+    const clock = ManualClock.create();
+    const directory = ServerDirectory.create(clock, 1_200);
+    ["one", "two", "three"].forEach(instance => directory.upsert(createServer(instance), "test"));
+    directory.remove("one", PLATFORM_DISTURBED, "test");
+    directory.remove("two", PLATFORM_DISTURBED, "test");
+    clock.advance(2_499);
+    assert.equal(directory.readyServers("catalogue").length, 3);
+    clock.advance(1);
+    assert.equal(directory.readyServers("catalogue").length, 1);
+});
+
 test("of two servers at one address, the one that started later is found", () => {
     const directory = ServerDirectory.create(ManualClock.create());
     const at = { hostAddress: "10.0.0.9", port: 80 };
