Keep a link on which a large body waits to be sent

Also with a single upload of more than 16 MiB: the next message on the link, a ping after 0.2 s at the latest, closed it. Cause: a link with more than 16 MiB of unsent output counted as one whose other end does not read. Frames may be 96 MiB, and a process holds 64 MiB of bodies. Change: the limit is 96 MiB. A peer that does not read is noticed by its silence. Test: "messages behind a large body wait for it and do not cost the link" (48 MiB, then three small requests) failed before. Ruled out: load as the cause; it only makes bodies wait longer.

--- a/packages/mesh/src/connection/message-socket.ts
+++ b/packages/mesh/src/connection/message-socket.ts
@@ -6,8 +6,11 @@
 import type { LinkMessage } from "./link-message.js";
 import { appendFrame, FrameReader } from "./message-frame.js";
 
-/** Limit of unsent output. A connection with more is closed, because its other end does not read. */
-const MAXIMUM_UNSENT_BYTES = 16 * 1024 * 1024;
+/**
+ * Limit of unsent output: the request bodies that a process holds, and a response. A connection with more is closed,
+ * because its other end does not read.
+ */
+const MAXIMUM_UNSENT_BYTES = 96 * 1024 * 1024;
 
 /** Callbacks of a message socket. */
 export interface MessageListener {
--- a/packages/mesh/src/test/peer-link.test.ts
+++ b/packages/mesh/src/test/peer-link.test.ts
@@ -6,6 +6,8 @@
 import { MessageSocket, PeerLink } from "../index.js";
 import type { ForwardedRequest, LinkMessage, NodeState } from "../index.js";
 
+const LARGE_BODY_BYTES = 48 * 1_048_576;
+
 const state: NodeState = {
     load: { open: 1, waiting: 2, limit: 3 },
     onwardPressure: 0.5,
@@ -205,6 +207,33 @@
     server.close();
 });
 
+test("messages behind a large body wait for it and do not cost the link", async () => {
+    const { server, port } = await createPeer((message, reply) => {
+        if (message.kind === "request") {
+            const headers = [String(message.request.content.body?.length)];
+            const outcome = { kind: "answered", status: 200, headers, body: Buffer.alloc(0) } as const;
+            reply({ kind: "outcome", number: message.number, outcome, state });
+        }
+    });
+    const link = openLink(port);
+    await link.forward(request, false).result;
+    const large = { ...request, content: { ...request.content, body: Buffer.alloc(LARGE_BODY_BYTES) } };
+    const forwards = [link.forward(large, false)];
+    for (let count = 0; count < 3; count++) {
+        await new Promise(resolve => setImmediate(resolve));
+        forwards.push(link.forward(request, false));
+    }
+    const results = await Promise.all(forwards.map(({ result }) => result));
+    const lengths = results.map(result =>
+        result.kind === "answered" && result.answer.outcome.kind === "answered" ?
+            result.answer.outcome.headers[0] :
+            "lost"
+    );
+    assert.deepEqual(lengths, [String(LARGE_BODY_BYTES), "4", "4", "4"]);
+    link.destroy();
+    server.close();
+});
+
 test("a request carries the time at which it was sent, on the peer's clock", async () => {
     const sentAt: number[] = [];
     const { server, port } = await createPeer(message => {
