--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -134,7 +134,7 @@
     /**
      * Removes an entry that disappeared from the platform. After an outage of the platform a lapsed entry does not prove
      * that the server has left, so the server stays usable for `graceMs`, in which such entries come back; but not longer
-     * than a server that leaves serves, unless at least half of its service is missing, as only an outage can cause.
+     * than a server that leaves serves, unless most of its service is missing, as only an outage can cause.
      */
     remove(instance: string, graceMs: number, cause: string): void {
         const server = this.servers.get(instance);
@@ -167,6 +167,7 @@
             server.sequence <= leaving.sequence;
     }
 
+    /** Drops a server that may have left as planned; waits for the end of the grace where an outage took most of them. */
     private dropUnlessLapsed(instance: string, graceMs: number): void {
         const server = this.servers.get(instance);
         if (server && graceMs > this.leavingUseMs && this.isMostlyMissing(server.service)) {
@@ -179,7 +180,7 @@
     private isMostlyMissing(service: string): boolean {
         const servers = [...this.servers.values()].filter(server => server.service === service);
         const missing = servers.filter(server => server.missingSinceMs !== undefined);
-        return missing.length * 2 >= servers.length;
+        return missing.length * 2 > servers.length;
     }
 
     private dropIfStillMissing(instance: string): void {
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -64,7 +64,16 @@
     assert.equal(directory.readyServers("catalogue").length, 2);
 });
 
-test("servers that go missing with half of their service are used until lapsed entries are back", () => {
+test("of two servers the one whose entry goes alone after an outage is used no longer than one that leaves", () => {
+    const clock = ManualClock.create();
+    const directory = ServerDirectory.create(clock, 1_200);
+    ["one", "two"].forEach(instance => directory.upsert(createServer(instance), "test"));
+    directory.remove("one", PLATFORM_DISTURBED, "test");
+    clock.advance(1_200);
+    assert.equal(directory.find("one"), undefined);
+});
+
+test("servers that go missing with most of their service are used until lapsed entries are back", () => {
     const clock = ManualClock.create();
     const directory = ServerDirectory.create(clock, 1_200);
     ["one", "two", "three"].forEach(instance => directory.upsert(createServer(instance), "test"));
