Index the hosts of the directory apart from its servers, so that a changed entry does not plan the relay tree anew

Cause: each write of a backend server's entry (slots, draining, missing) made a new list of hosts. FleetView then ranked all hosts again and QuotaHolderSelection compared two full lists, on the next request, for a fleet that had not changed. Change: two indexes in place of one; that of the hosts is rebuilt after a server joined, moved or left. Test: "the list of hosts stays the same object while entries of known hosts change ..." failed before.

--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -40,12 +40,13 @@
     readonly cause: string;
 }
 
-/** Index for the lookups that each request makes. */
-interface DirectoryIndex {
-    /** Servers that may receive new requests. */
-    readonly byService: ReadonlyMap<string, readonly KnownServer[]>;
-    readonly hostsByAddress: ReadonlyMap<string, FleetHost>;
-    readonly fleetHosts: readonly FleetHost[];
+/** Servers that may receive new requests, by service. */
+type ReadyServers = ReadonlyMap<string, readonly KnownServer[]>;
+
+/** Hosts at which servers are listed. */
+interface HostIndex {
+    readonly byAddress: ReadonlyMap<string, FleetHost>;
+    readonly list: readonly FleetHost[];
 }
 
 /** Last entry of a server that has left. */
@@ -63,7 +64,9 @@
     readonly events: Emittery<{ changed: DirectoryChange; }> = new Emittery();
     private readonly servers = new Map<string, KnownServer>();
     /** Rebuilt on the first lookup after a change, because many entries may change at once. */
-    private index: DirectoryIndex | undefined;
+    private ready: ReadyServers | undefined;
+    /** Rebuilt only after a server joined, moved or left, because much is derived from it. */
+    private hosts: HostIndex | undefined;
     private readonly departed = new Map<string, DepartedServer>();
     private isLoaded = false;
 
@@ -81,17 +84,18 @@
 
     /** Whether a backend server is listed at a host. */
     hasHost(address: string): boolean {
-        return this.currentIndex().hostsByAddress.has(address);
+        return this.currentHosts().byAddress.has(address);
     }
 
-    /** The hosts with their failure domains; the same array until a server changes. */
+    /** The hosts with their failure domains; the same array until a server joins, moves or leaves. */
     get fleetHosts(): readonly FleetHost[] {
-        return this.currentIndex().fleetHosts;
+        return this.currentHosts().list;
     }
 
     /** All servers of a service that may receive new requests. */
     readyServers(service: string): readonly KnownServer[] {
-        return this.currentIndex().byService.get(service) ?? [];
+        this.ready ??= indexReadyServers(this.servers.values());
+        return this.ready.get(service) ?? [];
     }
 
     /** All listed servers. */
@@ -124,7 +128,10 @@
             missingSinceMs: undefined,
         };
         this.servers.set(server.instance, known);
-        this.index = undefined;
+        this.ready = undefined;
+        if (before?.hostAddress !== server.hostAddress || before.failureDomain !== server.failureDomain) {
+            this.hosts = undefined;
+        }
         const change = changeBetween(before, server);
         if (change) {
             void this.events.emit("changed", { kind: change, server, cause });
@@ -146,7 +153,7 @@
             return;
         }
         this.servers.set(instance, { ...server, missingSinceMs: this.clock.nowMs() });
-        this.index = undefined;
+        this.ready = undefined;
         void this.events.emit("changed", { kind: "missing", server, cause });
         this.clock.setTimer(Math.min(graceMs, this.leavingUseMs), () => this.dropUnlessLapsed(instance, graceMs));
     }
@@ -193,7 +200,8 @@
     private drop(server: KnownServer, cause: string): void {
         this.servers.delete(server.instance);
         this.remember(server);
-        this.index = undefined;
+        this.ready = undefined;
+        this.hosts = undefined;
         void this.events.emit("changed", { kind: "left", server, cause });
     }
 
@@ -205,29 +213,30 @@
         }
     }
 
-    private currentIndex(): DirectoryIndex {
-        this.index ??= createIndex(this.servers.values());
-        return this.index;
+    private currentHosts(): HostIndex {
+        this.hosts ??= indexHosts(this.servers.values());
+        return this.hosts;
     }
 }
 
-function createIndex(servers: Iterable<KnownServer>): DirectoryIndex {
+function indexReadyServers(servers: Iterable<KnownServer>): ReadyServers {
     const byService = new Map<string, KnownServer[]>();
-    const hostsByAddress = new Map<string, FleetHost>();
     for (const server of servers) {
-        const { hostAddress, failureDomain } = server;
-        hostsByAddress.set(hostAddress, { address: hostAddress, failureDomain });
         if (server.state === "ready") {
             const list = byService.get(server.service) ?? [];
             list.push(server);
             byService.set(server.service, list);
         }
     }
-    return {
-        byService,
-        hostsByAddress,
-        fleetHosts: [...hostsByAddress.values()],
-    };
+    return byService;
+}
+
+function indexHosts(servers: Iterable<KnownServer>): HostIndex {
+    const byAddress = new Map<string, FleetHost>();
+    for (const { hostAddress, failureDomain } of servers) {
+        byAddress.set(hostAddress, { address: hostAddress, failureDomain });
+    }
+    return { byAddress, list: [...byAddress.values()] };
 }
 
 function startsAfter(server: KnownServer, other: KnownServer | undefined): boolean {
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -85,6 +85,22 @@
     assert.equal(directory.readyServers("catalogue").length, 1);
 });
 
+test("the list of hosts stays the same object while entries of known hosts change, and follows joins and leaves", () => {
+    const directory = ServerDirectory.create(ManualClock.create());
+    directory.upsert(createServer("one"), "test");
+    directory.upsert(createServer("three"), "test");
+    const { fleetHosts } = directory;
+    directory.upsert(createServer("one", { slots: 7 }), "test");
+    directory.upsert(createServer("three", { state: "draining" }), "test");
+    directory.remove("one", PLATFORM_DISTURBED, "test");
+    assert.equal(directory.fleetHosts, fleetHosts);
+    assert.equal(fleetHosts.length, 2);
+    directory.upsert(createServer("one", { hostAddress: "10.0.0.77" }), "moved");
+    assert.ok(directory.hasHost("10.0.0.77"));
+    directory.remove("three", PLATFORM_HEALTHY, "test");
+    assert.deepEqual(directory.fleetHosts.map(({ address }) => address), ["10.0.0.77"]);
+});
+
 test("of two servers at one address, the one that started later is found", () => {
     const directory = ServerDirectory.create(ManualClock.create());
     const at = { hostAddress: "10.0.0.9", port: 80 };
