Name each of three times and one step once, in place of a twin of each

One piece serves both sides now: - the time for which a server that leaves gets requests (directory and gate of the local server, both 0.6 of the drain), - the lateness of a timer that shows a delay of this process (opening and silence of a link, both 80 ms), - the time after which a body may fit (refusals to callers and to peers, both 300 ms), - avoiding a source of updates (recordPeerFailureAtStart only called avoid). The tests of the throttle use the generator of seeded-random.ts, with their seed and all their assertions.

--- a/packages/mesh/src/connection/caller-server.ts
+++ b/packages/mesh/src/connection/caller-server.ts
@@ -6,6 +6,7 @@
 import { RequestError } from "@radishrouter/core";
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { RETRY_AFTER_NO_ROOM_MS } from "../process/body-budget.js";
 import type { BodyBudget, BodyReservation } from "../process/body-budget.js";
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { MeshMetrics } from "../process/mesh-metrics.js";
@@ -55,8 +56,6 @@
 const SECOND_MS = 1000;
 /** Time in which a process whose event loop was blocked reads its input backlog. */
 const RETRY_AFTER_BACKLOG_MS = 100;
-/** Time in which some of the bodies that a process holds are sent on. */
-const RETRY_AFTER_NO_ROOM_MS = 300;
 const MAXIMUM_DEADLINE_MS = 600_000;
 const RETRY_AFTER_DECIMALS = 3;
 /** Callers reuse a connection until shortly before the idle timeout, so it is closed this much after the timeout. */
--- a/packages/mesh/src/connection/peer-link.ts
+++ b/packages/mesh/src/connection/peer-link.ts
@@ -13,7 +13,7 @@
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState, StateReport } from "./link-message.js";
 import { MessageSocket } from "./message-socket.js";
 import { PeerClock } from "./peer-clock.js";
-import { ResponseMonitor } from "./response-monitor.js";
+import { MAXIMUM_TIMER_DELAY_MS, ResponseMonitor } from "./response-monitor.js";
 import type { TokenRequest } from "./token-broker.js";
 
 /** Outcome of a call. `sent` is false only if the peer cannot have received the call. */
@@ -73,8 +73,6 @@
 
 /** Time within which a peer must reply on a new connection. */
 const OPENING_TIMEOUT_MS = 350;
-/** If a timer fires this late, this process was delayed itself and may not have read the peer's messages yet. */
-const MAXIMUM_TIMER_DELAY_MS = 80;
 
 /** One connection to a peer. */
 export class PeerLink {
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -5,6 +5,7 @@
 import type { BacklogMonitor, Clock, Timer } from "@radishrouter/core";
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
+import { RETRY_AFTER_NO_ROOM_MS } from "../process/body-budget.js";
 import type { BodyBudget } from "../process/body-budget.js";
 import type { DownstreamPressure } from "../process/downstream-pressure.js";
 import type { LifeCycle } from "../process/life-cycle.js";
@@ -50,7 +51,12 @@
 const CANCELLATION_WAIT_MS = 25;
 
 /** Outcome of a request whose body does not fit into the memory for bodies. */
-const NO_ROOM: FailedOutcome = { kind: "not-run", reason: "no-room", reached: false, retryAfterMs: 300 };
+const NO_ROOM: FailedOutcome = {
+    kind: "not-run",
+    reason: "no-room",
+    reached: false,
+    retryAfterMs: RETRY_AFTER_NO_ROOM_MS,
+};
 
 /** Connections that other nodes have opened to this node. */
 export class PeerServer {
--- a/packages/mesh/src/connection/response-monitor.ts
+++ b/packages/mesh/src/connection/response-monitor.ts
@@ -25,8 +25,8 @@
 const DOUBTFUL_AFTER_MS = 300;
 /** Time without a message after which the peer counts as unresponsive. */
 const UNRESPONSIVE_AFTER_MS = 550;
-/** If a check runs this late, this process was delayed itself and may not have read the peer's messages yet. */
-const MAXIMUM_DELAY_MS = 80;
+/** If a timer fires this late, this process was delayed itself and may not have read the peer's messages yet. */
+export const MAXIMUM_TIMER_DELAY_MS = 80;
 const MINIMUM_CHECK_INTERVAL_MS = 50;
 
 /** How far the silence of a peer has led. */
@@ -92,7 +92,7 @@
         }
         const nowMs = clock.nowMs();
         const silentMs = nowMs - this.lastHeardAtMs;
-        const isLate = nowMs - dueAtMs >= MAXIMUM_DELAY_MS;
+        const isLate = nowMs - dueAtMs >= MAXIMUM_TIMER_DELAY_MS;
         if (silentMs > UNRESPONSIVE_AFTER_MS && !isLate) {
             this.stop();
             onUnresponsive();
--- a/packages/mesh/src/process/body-budget.ts
+++ b/packages/mesh/src/process/body-budget.ts
@@ -8,6 +8,8 @@
 const MEBIBYTE = 1024 * 1024;
 /** Bytes of request bodies that a process holds at once. */
 const MAXIMUM_HELD_BYTES = 64 * MEBIBYTE;
+/** Time in ms in which some of the bodies that a process holds are sent on. */
+export const RETRY_AFTER_NO_ROOM_MS = 300;
 
 /** Part of the budget that one request has taken. */
 export interface BodyReservation {
--- a/packages/mesh/src/process/local-server-state.ts
+++ b/packages/mesh/src/process/local-server-state.ts
@@ -6,16 +6,13 @@
 import type { KnownServer } from "./server-directory.js";
 import type { ServerGate } from "./server-gate.js";
 
-/** Fraction of the drain time for which the server still gets requests that are on their way. */
-const DRAIN_FRACTION = 0.6;
-
 /** Collaborators and settings. */
 export interface LocalServerStateOptions {
     readonly clock: Clock;
     readonly gate: ServerGate;
     readonly localInstance: LocalInstance;
-    /** Time for which a draining backend server may still get requests. */
-    readonly drainMs: number;
+    /** Time for which the server still gets requests that are on their way when it leaves. */
+    readonly leavingUseMs: number;
 }
 
 /** State of the local backend server. */
@@ -52,7 +49,7 @@
 
     /** Other nodes learn of the drain later, and their requests are on their way. */
     private closeGateLater(): void {
-        const { clock, gate, drainMs } = this.options;
-        clock.setTimer(drainMs * DRAIN_FRACTION, () => gate.setDraining(this.draining));
+        const { clock, gate, leavingUseMs } = this.options;
+        clock.setTimer(leavingUseMs, () => gate.setDraining(this.draining));
     }
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -71,7 +71,7 @@
     readonly log: { readonly decisionLinesPerSecond: number; readonly successSampleInterval: number; };
 }
 
-/** Fraction of the drain time for which a server gets requests that may have left; the rest is for what is on its way. */
+/** Fraction of the drain time for which a server that leaves gets requests; the rest is for what is on its way. */
 const LEAVING_USE_FRACTION = 0.6;
 /** Time for which callers and peers still send requests to a node that has announced its stop. */
 const STOP_NOTICE_MS = 2_800;
@@ -114,7 +114,8 @@
     private constructor(private readonly settings: MeshNodeSettings, private readonly clock: Clock) {
         this.log = RequestLog.create(clock, { host: settings.host, ...settings.log });
         this.lease = ConfigurationLease.create(clock, settings.keyLeaseMs);
-        this.directory = ServerDirectory.create(clock, settings.drainMs * LEAVING_USE_FRACTION);
+        const leavingUseMs = settings.drainMs * LEAVING_USE_FRACTION;
+        this.directory = ServerDirectory.create(clock, leavingUseMs);
         this.fleet = FleetView.create(
             { address: settings.hostAddress, failureDomain: settings.failureDomain },
             () => this.directory.fleetHosts,
@@ -124,7 +125,7 @@
             clock,
             gate: this.gate,
             localInstance: this.localInstance,
-            drainMs: settings.drainMs,
+            leavingUseMs,
         });
         this.health = PeerHealth.create(clock);
         this.throttle = DownstreamThrottle.create(clock);
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -204,7 +204,7 @@
             this.renewLease(proofAt);
         }
         this.endFirstQuestions();
-        if (!proofAt || this.dependencies.lease.now().monotonicMs - proofAt.monotonicMs > this.waits.outdatedAfterMs) {
+        if (!proofAt || lease.now().monotonicMs - proofAt.monotonicMs > this.waits.outdatedAfterMs) {
             this.recordPeerFailure(address, "outdated");
             return;
         }
@@ -229,7 +229,7 @@
             selector.recordPeerFailure(address, failure);
             return;
         }
-        selector.recordPeerFailureAtStart(address, failure);
+        selector.avoid(address, failure);
         this.firstQuestionsLeft--;
         if (this.firstQuestionsLeft === 0) {
             this.endFirstQuestions();
--- a/packages/mesh/src/process/update-source-selector.ts
+++ b/packages/mesh/src/process/update-source-selector.ts
@@ -91,9 +91,11 @@
         this.isPlatformNext = !this.isPlatformFailing() && !canAskAnother;
     }
 
-    /** Records a peer that did not help a starting node, which has just read the platform. */
-    recordPeerFailureAtStart(address: string, failure: SourceFailure): void {
-        this.avoid(address, failure);
+    /** Does not choose a peer for a while; enough for a node that starts, which has just read the platform. */
+    avoid(address: string, failure: SourceFailure): void {
+        const durationMs = failure === "outdated" ? AVOID_OUTDATED_MS : AVOID_AFTER_NO_ANSWER_MS;
+        this.forgetExpired();
+        this.avoidedUntilMs.set(address, this.clock.nowMs() + durationMs);
     }
 
     /** Has the platform asked next, because what peers hand on has to be compared with it. */
@@ -114,12 +116,6 @@
         return (this.avoidedUntilMs.get(address) ?? 0) <= this.clock.nowMs() && this.inputs.isReachable(address);
     }
 
-    private avoid(address: string, failure: SourceFailure): void {
-        const durationMs = failure === "outdated" ? AVOID_OUTDATED_MS : AVOID_AFTER_NO_ANSWER_MS;
-        this.forgetExpired();
-        this.avoidedUntilMs.set(address, this.clock.nowMs() + durationMs);
-    }
-
     private forgetExpired(): void {
         const nowMs = this.clock.nowMs();
         for (const [address, untilMs] of this.avoidedUntilMs) {
--- a/packages/mesh/src/test/entry-admission.test.ts
+++ b/packages/mesh/src/test/entry-admission.test.ts
@@ -2,18 +2,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { DownstreamPressure, DownstreamThrottle, ProcessOverloadGuard } from "../index.js";
+import { createSeededRandom } from "./seeded-random.js";
 
 const SEED = 12_345;
 
-/** Creates a pseudo-random generator of numbers from 0 to 1 with a fixed seed. */
-function createSeededRandom(): () => number {
-    let state = SEED;
-    return () => {
-        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
-        return state / 2_147_483_648;
-    };
-}
-
 interface SimulatedSecond {
     readonly admitted: readonly number[];
     readonly served: readonly number[];
@@ -32,7 +24,7 @@
     seconds: number,
     callsPerSecond: number,
 ): SimulatedSecond[] {
-    const random = createSeededRandom();
+    const random = createSeededRandom(SEED);
     const pressure = DownstreamPressure.create(clock);
     const simulated: SimulatedSecond[] = [];
     let capacity = 0;
@@ -63,7 +55,7 @@
 
 test("with capacity downstream for a third of the requests, the entry admits that many and prefers important ones", () => {
     const clock = ManualClock.create();
-    const throttle = DownstreamThrottle.create(clock, createSeededRandom());
+    const throttle = DownstreamThrottle.create(clock, createSeededRandom(SEED));
     const callsPerSecond = CALLS_PER_REQUEST * REQUESTS_PER_SECOND / 3;
     const simulated = simulate(throttle, clock, 12, callsPerSecond).slice(4);
     const served = simulated.reduce((sum, { served: [important = 0, other = 0] }) => sum + important + other, 0);
@@ -75,7 +67,7 @@
 
 test("all requests are admitted again within a few seconds after the capacity downstream is restored", () => {
     const clock = ManualClock.create();
-    const throttle = DownstreamThrottle.create(clock, createSeededRandom());
+    const throttle = DownstreamThrottle.create(clock, createSeededRandom(SEED));
     simulate(throttle, clock, 5, 10);
     const simulated = simulate(throttle, clock, 6, 10_000);
     assert.deepEqual(simulated.at(-1)?.admitted, [50, 50]);
@@ -99,7 +91,7 @@
 
 test("no request is rejected without downstream pressure", () => {
     const clock = ManualClock.create();
-    const throttle = DownstreamThrottle.create(clock, createSeededRandom());
+    const throttle = DownstreamThrottle.create(clock, createSeededRandom(SEED));
     const simulated = simulate(throttle, clock, 3, 10_000);
     assert.ok(simulated.every(({ admitted }) => admitted[0] === 50 && admitted[1] === 50));
 });
