--- a/packages/mesh/src/process/published-item-applier.ts
+++ b/packages/mesh/src/process/published-item-applier.ts
@@ -21,6 +21,10 @@
     readonly isOlderCopy: boolean;
     /** Time for which a server stays usable whose entry is missing, because entries lapse during an outage. */
     readonly lapsedEntryGraceMs: number;
+    /** Whom this node learned them from: the platform, or the address of another node. */
+    readonly source: string;
+    /** Time since this node last had a proof that its state was current: the changes are at most that old. */
+    readonly lastProofAgeMs: number;
 }
 
 /** Decodes and applies changed items; an item that cannot be read is logged and changes nothing else. */
@@ -77,13 +81,16 @@
     private applyServer(instance: string, item: PublishedItem, reliability: ChangeReliability): void {
         const { directory, decoder, log } = this.dependencies;
         const { isOlderCopy, lapsedEntryGraceMs } = reliability;
-        const cause = `revision ${item.revision}`;
+        const cause = describeChange(item, reliability);
         try {
             const server = item.value && decoder.decodeServer(instance, item.value);
             if (!server) {
                 directory.remove(instance, lapsedEntryGraceMs, cause);
             }
-            else if (!isOlderCopy || !directory.isOutdated(server)) {
+            else if (isOlderCopy && directory.isOutdated(server)) {
+                log.event("server-entry-outdated", { instance, sequence: server.sequence, cause });
+            }
+            else {
                 directory.upsert(server, cause);
             }
         }
@@ -93,3 +100,8 @@
         }
     }
 }
+
+function describeChange({ revision }: PublishedItem, { source, lastProofAgeMs }: ChangeReliability): string {
+    const proof = Number.isFinite(lastProofAgeMs) ? `last proof ${Math.round(lastProofAgeMs)} ms before` : "no proof before";
+    return `revision ${revision} from ${source}, ${proof}`;
+}
--- a/packages/mesh/src/process/state-follower.ts
+++ b/packages/mesh/src/process/state-follower.ts
@@ -268,7 +268,7 @@
         changed: readonly PublishedItem[],
         position: StatePosition | undefined,
     ): readonly PublishedItem[] {
-        const { directory, log, applier } = this.dependencies;
+        const { directory, log, applier, lease } = this.dependencies;
         const isOlderCopy = position !== undefined && position.era !== update.position.era;
         if (isOlderCopy && changed.length > 0) {
             this.outage.recordOlderCopy();
@@ -278,7 +278,12 @@
                 revisionBefore: position.revision,
             });
         }
-        applier.apply(changed, { isOlderCopy, lapsedEntryGraceMs: this.outage.lapsedEntryGraceMs() });
+        applier.apply(changed, {
+            isOlderCopy,
+            lapsedEntryGraceMs: this.outage.lapsedEntryGraceMs(),
+            source: this.lastSource,
+            lastProofAgeMs: lease.ageMs(),
+        });
         if (update.kind === "snapshot") {
             directory.markLoaded();
         }
--- a/packages/mesh/src/test/state-follower.test.ts
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -231,3 +231,17 @@
     await replyFromParent({ proofAgeMs: 100, heldMs: 30_000 });
     assert.equal(lease.ageMs(), 100);
 });
+
+test("the log tells from whom a change of a server was learned, and how old it can be", async () => {
+    const causes: string[] = [];
+    directory.events.on("changed", ({ cause }) => void causes.push(cause));
+    await start();
+    await replyFromParent({ proofAgeMs: 100 });
+    clock.advance(400);
+    await replyWithRemoval(Infinity);
+    await settle();
+    assert.deepEqual(causes, [
+        "revision 5 from platform, no proof before",
+        `revision 11 from ${PARENT}, last proof 500 ms before`,
+    ]);
+});
