Take an outage of the platform from its own failure to answer besides old proofs

Mended by: 'a server that leaves after one question to the platform failed ...' fails on its parent and passes since. Left of it, found by reading: proofs grow old without an outage, where the sources of a node fall silent one after another, where its parent is cut off from the platform, or where the time of day jumps. Change: an outage takes both observations of this node: old proofs, and a question to the platform that failed meanwhile. So that every node asks it before entries can have lapsed (two heartbeats), peers count as outdated after 2.4 s at most. Tests: 'a node whose sources were silent ...' and 'a parent that was cut off ...' failed before, and the one of the waits at a lease of 60 s. Ruled out: counting the missing servers of a service tells nothing by itself; that limit stays as a second one.

--- a/packages/mesh/src/process/follow-waits.ts
+++ b/packages/mesh/src/process/follow-waits.ts
@@ -14,6 +14,8 @@
 const MAXIMUM_PLATFORM_WAIT_MS = 800;
 const MAXIMUM_PEER_WAIT_MS = 500;
 const MAXIMUM_OUTAGE_PROOF_AGE_MS = 2_000;
+/** Above the age for an outage, so that a node whose peers are outdated asks the platform itself. */
+const MAXIMUM_OUTDATED_MS = 2_400;
 
 /** Waits and ages of a follower. */
 export interface FollowWaits {
@@ -32,7 +34,7 @@
     return {
         platformWaitMs: Math.ceil(Math.min(MAXIMUM_PLATFORM_WAIT_MS, leaseMs * PLATFORM_WAIT_FRACTION)),
         peerWaitMs: Math.min(MAXIMUM_PEER_WAIT_MS, leaseMs * PEER_WAIT_FRACTION),
-        outdatedAfterMs: leaseMs * OUTDATED_FRACTION,
+        outdatedAfterMs: Math.min(MAXIMUM_OUTDATED_MS, leaseMs * OUTDATED_FRACTION),
         outageProofAgeMs: Math.min(MAXIMUM_OUTAGE_PROOF_AGE_MS, leaseMs * OUTAGE_FRACTION),
     };
 }
--- a/packages/mesh/src/process/platform-outage.ts
+++ b/packages/mesh/src/process/platform-outage.ts
@@ -1,9 +1,10 @@
 /**
  * What this node knows of the last outage of the platform, for all of the fleet.
  *
- * Entries of running servers lapse during an outage, and their servers write them again soon after it. An outage shows by
- * proofs that grow old at every node; a node that the platform turns away, or that is cut off from it, still gets proofs
- * from other nodes.
+ * Entries of running servers lapse during an outage, and their servers write them again soon after it. Two observations
+ * together show an outage: the proofs of this node grew old, and the platform failed to answer it meanwhile. A node that
+ * the platform turns away still gets proofs from other nodes, and a node whose sources stopped gets an answer from the
+ * platform.
  */
 import type { Clock } from "@radishrouter/core";
 
@@ -13,6 +14,8 @@
 /** The last outage of the platform. */
 export class PlatformOutage {
     private failing = false;
+    /** Time at which the platform last failed to answer this node. */
+    private failedAtMs = -Infinity;
     /** Time at which the platform was first known to answer again. */
     private endedAtMs = -Infinity;
 
@@ -32,6 +35,7 @@
     recordFailure(): boolean {
         const isFirst = !this.failing;
         this.failing = true;
+        this.failedAtMs = this.clock.nowMs();
         return isFirst;
     }
 
@@ -44,8 +48,10 @@
 
     /** Records news of the platform, from itself or handed on, with the age of the last proof before it. */
     recordNews(lastProofAgeMs: number): void {
-        if (Number.isFinite(lastProofAgeMs) && lastProofAgeMs > this.minimumProofAgeMs) {
-            this.endedAtMs = this.clock.nowMs();
+        const nowMs = this.clock.nowMs();
+        const hasFailedSinceProof = nowMs - this.failedAtMs < lastProofAgeMs;
+        if (Number.isFinite(lastProofAgeMs) && lastProofAgeMs > this.minimumProofAgeMs && hasFailedSinceProof) {
+            this.endedAtMs = nowMs;
         }
     }
 
--- a/packages/mesh/src/process/published-item-applier.ts
+++ b/packages/mesh/src/process/published-item-applier.ts
@@ -102,6 +102,8 @@
 }
 
 function describeChange({ revision }: PublishedItem, { source, lastProofAgeMs }: ChangeReliability): string {
-    const proof = Number.isFinite(lastProofAgeMs) ? `last proof ${Math.round(lastProofAgeMs)} ms before` : "no proof before";
+    const proof = Number.isFinite(lastProofAgeMs) ?
+        `last proof ${Math.round(lastProofAgeMs)} ms before` :
+        "no proof before";
     return `revision ${revision} from ${source}, ${proof}`;
 }
--- a/packages/mesh/src/test/state-follower.test.ts
+++ b/packages/mesh/src/test/state-follower.test.ts
@@ -12,6 +12,7 @@
     UpdateSourceSelector,
 } from "../index.js";
 import type { PublishedItem, StateReport, StateUpdate } from "../index.js";
+import { followWaitsFor } from "../process/follow-waits.js";
 import { createServer } from "./example-values.js";
 
 const LEASE_MS = 5_000;
@@ -245,3 +246,49 @@
         `revision 11 from ${PARENT}, last proof 500 ms before`,
     ]);
 });
+
+test("a server that leaves after one question to the platform failed gets no more requests", async () => {
+    await start();
+    answerPeer!(undefined);
+    await settle();
+    failPlatform!(PublishedStateError.create("unreachable", "no answer in time"));
+    await settle();
+    clock.advance(100);
+    await settle();
+    answerPlatform!(changesAt(10, []));
+    await settle();
+    clock.advance(800);
+    answerPlatform!(changesAt(10, []));
+    await settle();
+    clock.advance(360);
+    answerPlatform!(changesAt(11, [REMOVAL]));
+    await settle();
+    assert.equal(directory.readyServers("catalogue").length, 0);
+});
+
+test("a node whose sources were silent for seconds takes that for no outage: a server whose entry goes has left", async () => {
+    await start();
+    await replyFromParent();
+    clock.advance(2_300);
+    answerPeer!(undefined);
+    await settle();
+    answerPlatform!(changesAt(11, [REMOVAL]));
+    await settle();
+    assert.equal(directory.readyServers("catalogue").length, 0, "the platform answered the first question");
+});
+
+test("a parent that was cut off from the platform does not make an outage of it at its followers", async () => {
+    await start();
+    await replyFromParent();
+    clock.advance(2_300);
+    await replyWithRemoval(0);
+    assert.equal(directory.readyServers("catalogue").length, 0);
+});
+
+for (const leaseMs of [1_000, 5_000, 60_000]) {
+    test(`a node asks the platform itself before lapsed entries can be taken for departures, at a lease of ${leaseMs} ms`, () => {
+        const { outdatedAfterMs, outageProofAgeMs } = followWaitsFor(leaseMs);
+        const earliestLapseMs = 3_000;
+        assert.ok(outageProofAgeMs < outdatedAfterMs && outdatedAfterMs < earliestLapseMs);
+    });
+}
