Hold the order of a server's writes against late news that it is ready

Cause: entries were compared with what is known only if they came with the era's first update. Change: a server that drains returns by a later write or a new start only, whatever the source; an entry of an earlier start under the same name never counts. A server whose entry lapsed is back by any write. Test: 'an entry that a server wrote before it began to drain ...' failed before.

--- a/packages/mesh/src/process/published-item-applier.ts
+++ b/packages/mesh/src/process/published-item-applier.ts
@@ -80,23 +80,23 @@
 
     private applyServer(instance: string, item: PublishedItem, reliability: ChangeReliability): void {
         const { directory, decoder, log } = this.dependencies;
-        const { isOlderCopy, lapsedEntryGraceMs } = reliability;
+        const { isOlderCopy, lapsedEntryGraceMs, lastProofAgeMs } = reliability;
         const cause = describeChange(item, reliability);
         try {
             const server = item.value && decoder.decodeServer(instance, item.value);
             if (!server) {
-                directory.remove(instance, lapsedEntryGraceMs, cause);
+                directory.remove(instance, lapsedEntryGraceMs, cause, lastProofAgeMs);
             }
-            else if (isOlderCopy && directory.isOutdated(server)) {
+            else if (directory.isOutdated(server, isOlderCopy)) {
                 log.event("server-entry-outdated", { instance, sequence: server.sequence, cause });
             }
             else {
-                directory.upsert(server, cause);
+                directory.upsert(server, cause, lastProofAgeMs);
             }
         }
         catch (error) {
             log.problem("server-entry-refused", { key: item.key, revision: item.revision, problem: String(error) });
-            directory.remove(instance, lapsedEntryGraceMs, cause);
+            directory.remove(instance, lapsedEntryGraceMs, cause, lastProofAgeMs);
         }
     }
 }
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -38,6 +38,8 @@
     readonly kind: "joined" | "restarted" | "changed" | "draining" | "missing" | "left";
     readonly server: BackendServer;
     readonly cause: string;
+    /** Time since the change at most: the last proof before it showed the server as it was. */
+    readonly maximumAgeMs: number;
 }
 
 /** Servers that may receive new requests, by service. */
@@ -49,14 +51,25 @@
     readonly list: readonly FleetHost[];
 }
 
-/** Last entry of a server that has left. */
-interface DepartedServer {
+/**
+ * How it was learned that a server leaves: from an entry that says so, from its entry's removal, or from one of its own
+ * responses, which can be read before what the server wrote earlier has arrived.
+ */
+type DepartureSource = "entry" | "removal" | "response";
+
+/** What was known of a server when it began to leave. */
+interface Departure {
+    readonly source: DepartureSource;
+    readonly learnedAtMs: number;
     readonly startedAtMs: number | undefined;
-    readonly sequence: number;
+    /** Number of its last write that was known. */
+    sequence: number;
 }
 
-/** Servers that have left and are remembered, the last ones. */
-const MAXIMUM_DEPARTED = 1_024;
+/** Servers that leave or have left and are remembered, the last ones. */
+const MAXIMUM_DEPARTURES = 1_024;
+/** Time within which an entry may arrive that a server wrote before it said in a response that it leaves. */
+const LATE_ENTRY_MS = 5_000;
 
 /** Backend servers by instance and by service. */
 export class ServerDirectory {
@@ -67,7 +80,7 @@
     private ready: ReadyServers | undefined;
     /** Rebuilt only after a server joined, moved or left, because much is derived from it. */
     private hosts: HostIndex | undefined;
-    private readonly departed = new Map<string, DepartedServer>();
+    private readonly departures = new Map<string, Departure>();
     private isLoaded = false;
 
     private constructor(private readonly clock: Clock, private readonly leavingUseMs: number) {}
@@ -119,8 +132,14 @@
         return found;
     }
 
+    /** Whether a server is known to leave, or to have left. */
+    isLeaving(instance: string): boolean {
+        return this.servers.get(instance)?.state === "draining" ||
+            (!this.servers.has(instance) && this.departures.has(instance));
+    }
+
     /** Adds or updates one entry. */
-    upsert(server: BackendServer, cause: string): void {
+    upsert(server: BackendServer, cause: string, maximumAgeMs = 0): void {
         const before = this.servers.get(server.instance);
         const known: KnownServer = {
             ...server,
@@ -129,13 +148,33 @@
         };
         this.servers.set(server.instance, known);
         this.ready = undefined;
+        if (server.state === "draining") {
+            this.remember(server, "entry");
+        }
+        else {
+            this.departures.delete(server.instance);
+        }
         if (before?.hostAddress !== server.hostAddress || before.failureDomain !== server.failureDomain) {
             this.hosts = undefined;
         }
         const change = changeBetween(before, server);
         if (change) {
-            void this.events.emit("changed", { kind: change, server, cause });
+            void this.events.emit("changed", { kind: change, server, cause, maximumAgeMs });
+        }
+    }
+
+    /** Records that a listed server said in a response that it leaves; returns whether that is news. */
+    recordLeaving(instance: string, cause: string): boolean {
+        const server = this.servers.get(instance);
+        if (!server || server.state === "draining") {
+            return false;
         }
+        const draining: KnownServer = { ...server, state: "draining" };
+        this.servers.set(instance, draining);
+        this.ready = undefined;
+        this.remember(server, "response");
+        void this.events.emit("changed", { kind: "draining", server: draining, cause, maximumAgeMs: 0 });
+        return true;
     }
 
     /**
@@ -143,18 +182,18 @@
      * that the server has left, so the server stays usable for `graceMs`, in which such entries come back; but not longer
      * than a server that leaves serves, unless most of its service is missing, as only an outage can cause.
      */
-    remove(instance: string, graceMs: number, cause: string): void {
+    remove(instance: string, graceMs: number, cause: string, maximumAgeMs = 0): void {
         const server = this.servers.get(instance);
         if (!server || server.missingSinceMs !== undefined) {
             return;
         }
         if (graceMs <= 0 || server.state === "draining") {
-            this.drop(server, cause);
+            this.drop(server, cause, maximumAgeMs);
             return;
         }
         this.servers.set(instance, { ...server, missingSinceMs: this.clock.nowMs() });
         this.ready = undefined;
-        void this.events.emit("changed", { kind: "missing", server, cause });
+        void this.events.emit("changed", { kind: "missing", server, cause, maximumAgeMs });
         this.clock.setTimer(Math.min(graceMs, this.leavingUseMs), () => this.dropUnlessLapsed(instance, graceMs));
     }
 
@@ -164,14 +203,25 @@
     }
 
     /**
-     * Whether an entry is older than what is known of its server: from an outdated copy of the platform's store, a
-     * server must not return that is draining or has left since. A new start of the server, or a later write, counts.
+     * Whether an entry is older than what is known of its server: a server that leaves must not return by an entry that
+     * was written before. A new start of the server, or a later write, counts. From an older copy of the platform's
+     * store, the last entry before a removal is outdated too; else it shows a server that is back.
      */
-    isOutdated(server: BackendServer): boolean {
-        const known = this.servers.get(server.instance);
-        const leaving = known?.state === "draining" ? known : this.departed.get(server.instance);
-        return leaving !== undefined && server.state === "ready" && leaving.startedAtMs === server.startedAtMs &&
-            server.sequence <= leaving.sequence;
+    isOutdated(server: BackendServer, isOlderCopy: boolean): boolean {
+        const departure = this.departures.get(server.instance);
+        if (!departure || server.state !== "ready") {
+            return false;
+        }
+        const startedLaterMs = (server.startedAtMs ?? 0) - (departure.startedAtMs ?? 0);
+        if (startedLaterMs !== 0) {
+            return startedLaterMs < 0;
+        }
+        if (departure.source === "response" && this.clock.nowMs() - departure.learnedAtMs < LATE_ENTRY_MS) {
+            departure.sequence = Math.max(departure.sequence, server.sequence);
+            return true;
+        }
+        const comparesWrites = isOlderCopy || (departure.source !== "removal" && server.startedAtMs !== undefined);
+        return comparesWrites && server.sequence <= departure.sequence;
     }
 
     /** Drops a server that may have left as planned; waits for the end of the grace where an outage took most of them. */
@@ -193,23 +243,26 @@
     private dropIfStillMissing(instance: string): void {
         const server = this.servers.get(instance);
         if (server?.missingSinceMs !== undefined) {
-            this.drop(server, "its entry did not come back after the outage");
+            const missingMs = this.clock.nowMs() - server.missingSinceMs;
+            this.drop(server, "its entry did not come back after the outage", missingMs);
         }
     }
 
-    private drop(server: KnownServer, cause: string): void {
+    private drop(server: KnownServer, cause: string, maximumAgeMs: number): void {
         this.servers.delete(server.instance);
-        this.remember(server);
+        if (server.state === "ready") {
+            this.remember(server, "removal");
+        }
         this.ready = undefined;
         this.hosts = undefined;
-        void this.events.emit("changed", { kind: "left", server, cause });
+        void this.events.emit("changed", { kind: "left", server, cause, maximumAgeMs });
     }
 
-    private remember({ instance, startedAtMs, sequence }: KnownServer): void {
-        this.departed.delete(instance);
-        this.departed.set(instance, { startedAtMs, sequence });
-        if (this.departed.size > MAXIMUM_DEPARTED) {
-            this.departed.delete(this.departed.keys().next().value!);
+    private remember({ instance, startedAtMs, sequence }: BackendServer, source: DepartureSource): void {
+        this.departures.delete(instance);
+        this.departures.set(instance, { source, learnedAtMs: this.clock.nowMs(), startedAtMs, sequence });
+        if (this.departures.size > MAXIMUM_DEPARTURES) {
+            this.departures.delete(this.departures.keys().next().value!);
         }
     }
 
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -148,3 +148,25 @@
     health.clear("10.0.0.2");
     assert.equal(health.troubleOf("10.0.0.2"), undefined);
 });
+
+test("an entry that a server wrote before it began to drain does not bring it back, from whatever source", () => {
+    const directory = ServerDirectory.create(ManualClock.create());
+    directory.upsert(createServer("one", { startedAtMs: 5, sequence: 8, state: "draining" }), "test");
+    const isOutdated = (changes: Partial<BackendServer>) =>
+        directory.isOutdated(createServer("one", { startedAtMs: 5, ...changes }), false);
+    assert.ok(isOutdated({ sequence: 7 }), "a copy that is behind");
+    assert.ok(isOutdated({ sequence: 8 }));
+    assert.ok(!isOutdated({ sequence: 9 }), "a later write");
+    assert.ok(!isOutdated({ sequence: 1, startedAtMs: 6 }), "a new start");
+    assert.ok(isOutdated({ sequence: 90, startedAtMs: 4 }), "an earlier start under the same name");
+});
+
+test("a server that is back after its entry lapsed counts, whatever the number of its write", () => {
+    const directory = ServerDirectory.create(ManualClock.create());
+    const server = createServer("one", { startedAtMs: 5, sequence: 8 });
+    directory.upsert(server, "test");
+    directory.remove("one", PLATFORM_HEALTHY, "test");
+    assert.ok(directory.isLeaving("one"));
+    assert.ok(!directory.isOutdated(server, false));
+    assert.ok(directory.isOutdated(server, true), "an older copy of the store only repeats what was before");
+});
