Close the gate of a server that leaves by the last proof before it, and forget an earlier leaving

What callers would see (found by reading): a request that another node sends late, at a server that left more than the drain time ago. All requests pass the gate on the server's host, so it can refuse whatever others believe. Cause: the gate closed 0.6 of the drain time after this node learned it, however late that was; a timer of an earlier leaving closed it early after the server had returned. Change: it closes by 0.9 of the drain time after the last proof that showed the server as ready, and at once where that has passed.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./process/fleet-view.js";
 export * from "./process/load-balancer.js";
 export * from "./process/local-instance.js";
+export * from "./process/local-server-state.js";
 export * from "./process/mesh-metrics.js";
 export * from "./process/mesh-node.js";
 export * from "./process/organisation-quota.js";
--- a/packages/mesh/src/process/local-server-state.ts
+++ b/packages/mesh/src/process/local-server-state.ts
@@ -1,7 +1,7 @@
 /**
- * Applies the list entry of the backend server on this node's host: its instance, its slots, and whether it drains.
+ * Applies what is known of the backend server on this node's host: its instance, its slots, and whether it leaves.
  */
-import type { Clock } from "@radishrouter/core";
+import type { Clock, Timer } from "@radishrouter/core";
 import type { LocalInstance } from "./local-instance.js";
 import type { KnownServer } from "./server-directory.js";
 import type { ServerGate } from "./server-gate.js";
@@ -11,13 +11,20 @@
     readonly clock: Clock;
     readonly gate: ServerGate;
     readonly localInstance: LocalInstance;
-    /** Time for which the server still gets requests that are on their way when it leaves. */
-    readonly leavingUseMs: number;
+    /** Time for which a server that leaves may still get requests. */
+    readonly drainMs: number;
 }
 
+/** Fraction of the drain time for which requests that are on their way are let in, from when this node learned it. */
+const USE_FRACTION = 0.6;
+/** The same from when the server can have begun to leave at the earliest; the rest is for the way to the server. */
+const LATEST_USE_FRACTION = 0.9;
+
 /** State of the local backend server. */
 export class LocalServerState {
     private draining = false;
+    private leavingInstance: string | undefined;
+    private closingTimer: Timer | undefined;
 
     private constructor(private readonly options: LocalServerStateOptions) {}
 
@@ -30,26 +37,49 @@
         return this.draining;
     }
 
-    /** Applies the server's entry; undefined if it has none. */
-    apply(server: KnownServer | undefined): void {
+    /** Instance of the server that leaves, for other nodes; undefined if it does not leave or is not known. */
+    get leaving(): string | undefined {
+        return this.leavingInstance;
+    }
+
+    /** Applies the server's entry, undefined if it has none; `maximumAgeMs` is the time since it changed at most. */
+    apply(server: KnownServer | undefined, maximumAgeMs: number): void {
         const { gate, localInstance } = this.options;
         localInstance.setListed(server?.instance);
         if (server) {
             gate.setSlots(server.slots);
         }
-        const isDraining = server === undefined || server.state === "draining";
-        if (isDraining && !this.draining) {
-            this.closeGateLater();
+        if (server?.state === "ready") {
+            this.open();
         }
-        if (!isDraining) {
-            gate.setDraining(false);
+        else {
+            this.leavingInstance = server?.instance ?? this.leavingInstance;
+            this.drain(maximumAgeMs);
         }
-        this.draining = isDraining;
     }
 
-    /** Other nodes learn of the drain later, and their requests are on their way. */
-    private closeGateLater(): void {
-        const { clock, gate, leavingUseMs } = this.options;
-        clock.setTimer(leavingUseMs, () => gate.setDraining(this.draining));
+    /** Records that the server said in a response that it leaves. */
+    recordLeaving(instance: string): void {
+        this.leavingInstance = instance;
+        this.drain(0);
+    }
+
+    private open(): void {
+        this.draining = false;
+        this.leavingInstance = undefined;
+        this.closingTimer?.cancel();
+        this.closingTimer = undefined;
+        this.options.gate.setDraining(false);
+    }
+
+    /** Other nodes learn of it later, and their requests are on their way: the gate closes some time after. */
+    private drain(maximumAgeMs: number): void {
+        if (this.draining) {
+            return;
+        }
+        this.draining = true;
+        const { clock, gate, drainMs } = this.options;
+        const useMs = Math.min(drainMs * USE_FRACTION, drainMs * LATEST_USE_FRACTION - maximumAgeMs);
+        this.closingTimer = clock.setTimer(Math.max(0, useMs), () => gate.setDraining(true));
     }
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -125,7 +125,7 @@
             clock,
             gate: this.gate,
             localInstance: this.localInstance,
-            leavingUseMs,
+            drainMs: settings.drainMs,
         });
         this.health = PeerHealth.create(clock);
         this.throttle = DownstreamThrottle.create(clock);
@@ -374,7 +374,7 @@
     }
 
     private onServerChange(change: DirectoryChange): void {
-        const { server, kind, cause } = change;
+        const { server, kind, cause, maximumAgeMs } = change;
         this.log.event(`server-${kind}`, { instance: server.instance, service: server.service, cause });
         if (kind === "left" && !this.directory.hasHost(server.hostAddress)) {
             this.balancer.remove(server.hostAddress);
@@ -384,7 +384,7 @@
         }
         if (server.hostAddress === this.settings.hostAddress) {
             const { address, port } = this.settings.backendServer;
-            this.localServer.apply(this.directory.findByAddress(address, port));
+            this.localServer.apply(this.directory.findByAddress(address, port), maximumAgeMs);
         }
     }
 
