Send nothing to a server that began to leave while the request waited, nor to one that a refusal names

What callers would see (found by reading): a request admitted before its server left, which waited for its connection or for the input backlog, reaches it after the drain time; so does one that is sent again to the instance which a refusal for another instance named, although that one leaves. Change: the state of the gate is asked again when the connection is open; the named instance is looked up first. Both requests are reported as not run, so that they are sent elsewhere. Tests: the two last of server-client.test fail without the checks.

--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -23,6 +23,8 @@
     readonly localService: string;
     readonly localInstance: LocalInstance;
     readonly onwardPressure: DownstreamPressure;
+    /** Whether an instance of the backend server is known to leave, or to have left. */
+    readonly isLeaving: (instance: string) => boolean;
 }
 
 const MAXIMUM_CONNECTIONS = 512;
@@ -118,13 +120,19 @@
 
     private async sendToCurrentInstance(request: ServerRequest, attempt: ServerAttempt): Promise<AttemptOutcome> {
         const outcome = await this.sendOnce(request, attempt);
-        if (outcome.kind === "not-run" && outcome.reason === "other-instance" && attempt.abortReason === undefined) {
+        const isMisdirected = outcome.kind === "not-run" && outcome.reason === "other-instance";
+        if (isMisdirected && attempt.abortReason === undefined && this.mayUseCurrentInstance()) {
             // The response named the instance that runs now, so the request is sent again to that instance.
             return await this.sendOnce(request, attempt);
         }
         return outcome;
     }
 
+    private mayUseCurrentInstance(): boolean {
+        const { current } = this.dependencies.localInstance;
+        return current === undefined || !this.dependencies.isLeaving(current);
+    }
+
     /** Waits until the input backlog is read: it may hold the cancellation behind the response that freed the slot. */
     private async waitForInputBacklog(attempt: ServerAttempt): Promise<void> {
         const { backlog } = this.dependencies;
@@ -148,13 +156,18 @@
         );
         const result = await attempt.exchange.result;
         if (result.kind === "failed") {
-            return this.toFailedOutcome(result.sent, result.reason, attempt.abortReason);
+            return attempt.isServerLeaving ?
+                LEAVING :
+                this.toFailedOutcome(result.sent, result.reason, attempt.abortReason);
         }
         this.dependencies.gate.setProbing(false);
         return this.toOutcome(request.content.id, result.response);
     }
 
-    /** Checks again once the connection is open: the caller may have disconnected or the deadline may have passed. */
+    /**
+     * Checks again once the connection is open: the caller may have disconnected, the deadline may have passed, or the
+     * server may have begun to leave.
+     */
     private shouldSend(request: ServerRequest, attempt: ServerAttempt): boolean {
         if (attempt.hasCallerDisconnected()) {
             attempt.abortReason ??= "caller-gone";
@@ -162,7 +175,8 @@
         if (request.deadlineAtMs <= this.dependencies.clock.nowMs()) {
             attempt.abortReason ??= "timeout";
         }
-        return attempt.abortReason === undefined;
+        attempt.isServerLeaving = this.dependencies.gate.isClosed;
+        return attempt.abortReason === undefined && !attempt.isServerLeaving;
     }
 
     private createHeaders(request: ServerRequest, remainingMs: number): string[] {
@@ -232,11 +246,14 @@
     retryAfterMs: RETRY_AFTER_FAILURE_MS,
 };
 
+const LEAVING: AttemptOutcome = { kind: "not-run", reason: "leaving", reached: false, retryAfterMs: 0 };
+
 /** One request in the gate or at the backend server. */
 class ServerAttempt {
     exchange: Exchange | undefined;
     abortReason: UnknownReason | undefined;
-
+    /** Whether the server had begun to leave when the request was to be sent; it was not sent then. */
+    isServerLeaving = false;
     /** Time at which the gate admitted the request; undefined before. */
     admittedAtMs: number | undefined;
 
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -306,6 +306,7 @@
             localService: settings.service,
             localInstance: this.localInstance,
             onwardPressure: this.onwardPressure,
+            isLeaving: instance => this.directory.isLeaving(instance),
         });
     }
 
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -122,6 +122,11 @@
         }
     }
 
+    /** Whether the server leaves and gets no more requests, not even those that were admitted before. */
+    get isClosed(): boolean {
+        return this.isDraining;
+    }
+
     /** Load that is reported to other nodes. */
     load(): ServerLoad {
         return { open: this.open, waiting: this.waiting, limit: this.slotLimit };
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -82,3 +82,35 @@
     rig.answerLast();
     assert.equal((await next.result).outcome.kind, "answered");
 });
+
+test("a request whose server begins to leave while its connection opens is not sent, and has not run", async () => {
+    const { client, gate, receivedIds } = rig;
+    const attempt = client.send(createRequest("late"), neverDisconnected);
+    await runMicrotasks();
+    gate.setDraining(true);
+    const { outcome } = await attempt.result;
+    assert.deepEqual(outcome, { kind: "not-run", reason: "leaving", reached: false, retryAfterMs: 0 });
+    gate.setDraining(false);
+    const next = client.send(createRequest("next"), neverDisconnected);
+    await waitUntil(() => receivedIds.includes("next"));
+    rig.answerLast();
+    assert.equal((await next.result).outcome.kind, "answered", "the server does not count as down");
+    assert.deepEqual(receivedIds, ["next"]);
+});
+
+test("a request that was refused for another instance is not sent again to one that is known to leave", async () => {
+    const { client, receivedIds, leaving } = rig;
+    rig.instance = "new";
+    rig.localInstance.setListed("old");
+    leaving.add("new");
+    const { outcome } = await client.send(createRequest("first"), neverDisconnected).result;
+    assert.equal(outcome.kind === "not-run" && outcome.reason, "other-instance");
+    assert.deepEqual(receivedIds, ["first"]);
+    leaving.clear();
+    rig.localInstance.setListed("older");
+    const second = client.send(createRequest("second"), neverDisconnected);
+    await waitUntil(() => receivedIds.length === 3);
+    rig.answerLast();
+    assert.equal((await second.result).outcome.kind, "answered");
+    assert.deepEqual(receivedIds, ["first", "second", "second"]);
+});
--- a/packages/mesh/src/test/server-rig.ts
+++ b/packages/mesh/src/test/server-rig.ts
@@ -36,6 +36,11 @@
     readonly onwardPressure = DownstreamPressure.create(this.clock);
     readonly backlog: BacklogMonitor;
     readonly client: ServerClient;
+    readonly localInstance = LocalInstance.create();
+    /** Instances that are known to leave. */
+    readonly leaving = new Set<string>();
+    /** Instance of the server, which refuses requests for another one; undefined if it takes any. */
+    instance: string | undefined;
     /** Ids of the requests that the server has received. */
     readonly receivedIds: string[] = [];
     private readonly open: ServerResponse[] = [];
@@ -55,8 +60,9 @@
             hostAddress: "127.0.0.1",
             port: this.port,
             localService: "catalogue",
-            localInstance: LocalInstance.create(),
+            localInstance: this.localInstance,
             onwardPressure: this.onwardPressure,
+            isLeaving: instance => this.leaving.has(instance),
         });
     }
 
@@ -68,6 +74,10 @@
             const id = String(request.headers[headerNames.attemptId]);
             rig.receivedIds.push(id);
             response.setHeader(headerNames.attemptId, id);
+            if (rig.instance !== undefined && request.headers[headerNames.expectedInstance] !== rig.instance) {
+                response.writeHead(421, { [headerNames.instance]: rig.instance }).end();
+                return;
+            }
             response.setHeader(headerNames.signature, "s");
             rig.open.push(response);
         });
