Stop sending requests to a server once one of its responses says that it leaves

Change: the node on the server's host reads the header of valid responses of the instance that was asked, closes the gate as for an entry that drains, and hands it on with its state, in each outcome and at once on open links. Every other node takes the server out of the directory; a later write or a new start brings it back, an entry on its way does not.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -2,6 +2,7 @@
  * Messages between two nodes, sent in both directions on one connection and encoded with MessagePack. The property
  * names are part of the wire format.
  */
+import type { ServerStart } from "../process/server-directory.js";
 import type { ServerLoad } from "../process/server-gate.js";
 import type { FailedOutcome } from "../request/outcome.js";
 import type { RequestContent } from "../request/relayed-request.js";
@@ -34,6 +35,8 @@
     readonly load: ServerLoad;
     /** Downstream pressure: fraction of its server's recent downstream calls that were refused for lack of capacity. */
     readonly onwardPressure: number;
+    /** Start of the server on the node's host that leaves; undefined if it does not leave. */
+    readonly leaving: ServerStart | undefined;
     /** Whether the node has begun a planned shutdown. */
     readonly isStopping: boolean;
     /** Time on the node's monotonic clock. */
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -11,6 +11,7 @@
 import type { LifeCycle } from "../process/life-cycle.js";
 import type { OrganisationQuota } from "../process/organisation-quota.js";
 import type { RequestLog } from "../process/request-log.js";
+import type { ServerStart } from "../process/server-directory.js";
 import type { ServerGate } from "../process/server-gate.js";
 import type { Attempt, AttemptOutcome, AttemptTiming, FailedOutcome } from "../request/outcome.js";
 import type { ForwardedOutcome, ForwardedRequest, LinkMessage, NodeState } from "./link-message.js";
@@ -28,6 +29,8 @@
     readonly onwardPressure: DownstreamPressure;
     readonly stateAnswers: StateAnswers;
     readonly bodyBudget: BodyBudget;
+    /** Start of the local backend server that leaves; undefined if it does not leave. */
+    readonly leavingServer: () => ServerStart | undefined;
     readonly lifeCycle: LifeCycle;
     readonly log: RequestLog;
 }
@@ -234,10 +237,11 @@
     }
 
     private state(): NodeState {
-        const { clock, gate, onwardPressure, lifeCycle } = this.dependencies;
+        const { clock, gate, onwardPressure, leavingServer, lifeCycle } = this.dependencies;
         return {
             load: gate.load(),
             onwardPressure: onwardPressure.current(),
+            leaving: leavingServer(),
             isStopping: lifeCycle.isStopping,
             clockMs: clock.nowMs(),
         };
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -23,6 +23,8 @@
     readonly localService: string;
     readonly localInstance: LocalInstance;
     readonly onwardPressure: DownstreamPressure;
+    /** Called with an instance of the backend server that says in a response that it leaves. */
+    readonly onServerLeaving: (instance: string) => void;
     /** Whether an instance of the backend server is known to leave, or to have left. */
     readonly isLeaving: (instance: string) => boolean;
 }
@@ -31,6 +33,8 @@
 const CONNECT_TIMEOUT_MS = 300;
 const IDLE_TIMEOUT_MS = 4_000;
 const MISDIRECTED_STATUS = 421;
+/** Value of the header with which a server says that it leaves. */
+const IS_LEAVING = "1";
 /** Time after a failed connection for which no new connection is tried. */
 const CONNECT_BACKOFF_MS = 150;
 const RETRY_AFTER_FAILURE_MS = 300;
@@ -150,8 +154,9 @@
             return { kind: "not-run", reason: "no-time-left", reached: false, retryAfterMs: 0 };
         }
         const { method, target, body, id } = request.content;
+        const instance = this.dependencies.localInstance.current ?? request.instance;
         attempt.exchange = this.pool.start(
-            { method, path: target, headers: this.createHeaders(request, remainingMs), body, id },
+            { method, path: target, headers: this.createHeaders(request, instance, remainingMs), body, id },
             () => this.shouldSend(request, attempt),
         );
         const result = await attempt.exchange.result;
@@ -161,7 +166,19 @@
                 this.toFailedOutcome(result.sent, result.reason, attempt.abortReason);
         }
         this.dependencies.gate.setProbing(false);
-        return this.toOutcome(request.content.id, result.response);
+        const outcome = this.toOutcome(request.content.id, result.response);
+        if (isFromExpectedInstance(outcome)) {
+            this.readCondition(instance, result.response);
+        }
+        return outcome;
+    }
+
+    /** Applies what a valid response says of the instance that sent it. */
+    private readCondition(instance: string, { headers }: ExchangeResponse): void {
+        const { headerNames, onServerLeaving } = this.dependencies;
+        if (instance !== "" && headers.get(headerNames.leaving) === IS_LEAVING) {
+            onServerLeaving(instance);
+        }
     }
 
     /**
@@ -179,10 +196,9 @@
         return attempt.abortReason === undefined && !attempt.isServerLeaving;
     }
 
-    private createHeaders(request: ServerRequest, remainingMs: number): string[] {
+    private createHeaders(request: ServerRequest, instance: string, remainingMs: number): string[] {
         const { headerNames } = this.dependencies;
         const headers = [...request.content.headers, headerNames.deadline, String(remainingMs)];
-        const instance = this.dependencies.localInstance.current ?? request.instance;
         if (instance !== "") {
             headers.push(headerNames.expectedInstance, instance);
         }
@@ -233,6 +249,18 @@
     }
 }
 
+/** Whether a response is valid and comes from the instance that the request was for. */
+function isFromExpectedInstance(outcome: AttemptOutcome): boolean {
+    switch (outcome.kind) {
+        case "answered":
+            return true;
+        case "not-run":
+            return outcome.reason === "refused-by-server";
+        case "unknown":
+            return false;
+    }
+}
+
 /** A reused address can belong to a host of another service. */
 const OTHER_SERVICE: AttemptOutcome = { kind: "not-run", reason: "other-service", reached: false, retryAfterMs: 0 };
 
--- a/packages/mesh/src/process/local-server-state.ts
+++ b/packages/mesh/src/process/local-server-state.ts
@@ -3,7 +3,7 @@
  */
 import type { Clock, Timer } from "@radishrouter/core";
 import type { LocalInstance } from "./local-instance.js";
-import type { KnownServer } from "./server-directory.js";
+import type { KnownServer, ServerStart } from "./server-directory.js";
 import type { ServerGate } from "./server-gate.js";
 
 /** Collaborators and settings. */
@@ -23,7 +23,7 @@
 /** State of the local backend server. */
 export class LocalServerState {
     private draining = false;
-    private leavingInstance: string | undefined;
+    private leavingStart: ServerStart | undefined;
     private closingTimer: Timer | undefined;
 
     private constructor(private readonly options: LocalServerStateOptions) {}
@@ -37,9 +37,9 @@
         return this.draining;
     }
 
-    /** Instance of the server that leaves, for other nodes; undefined if it does not leave or is not known. */
-    get leaving(): string | undefined {
-        return this.leavingInstance;
+    /** Start of the server that leaves, for other nodes; undefined if it does not leave or is not known. */
+    get leaving(): ServerStart | undefined {
+        return this.leavingStart;
     }
 
     /** Applies the server's entry, undefined if it has none; `maximumAgeMs` is the time since it changed at most. */
@@ -53,20 +53,20 @@
             this.open();
         }
         else {
-            this.leavingInstance = server?.instance ?? this.leavingInstance;
+            this.leavingStart = server ? toStart(server) : this.leavingStart;
             this.drain(maximumAgeMs);
         }
     }
 
     /** Records that the server said in a response that it leaves. */
-    recordLeaving(instance: string): void {
-        this.leavingInstance = instance;
+    recordLeaving(start: ServerStart): void {
+        this.leavingStart = start;
         this.drain(0);
     }
 
     private open(): void {
         this.draining = false;
-        this.leavingInstance = undefined;
+        this.leavingStart = undefined;
         this.closingTimer?.cancel();
         this.closingTimer = undefined;
         this.options.gate.setDraining(false);
@@ -83,3 +83,7 @@
         this.closingTimer = clock.setTimer(Math.max(0, useMs), () => gate.setDraining(true));
     }
 }
+
+function toStart({ instance, startedAtMs }: ServerStart): ServerStart {
+    return { instance, startedAtMs };
+}
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -5,6 +5,7 @@
 import { BacklogMonitor, SystemClock } from "@radishrouter/core";
 import type { Server } from "node:http";
 import { applyIdleTimeout, createCallerServer } from "../connection/caller-server.js";
+import type { NodeState } from "../connection/link-message.js";
 import { listenAt, NodeListeners } from "../connection/node-listeners.js";
 import type { ListenAddress } from "../connection/node-listeners.js";
 import { PeerClient } from "../connection/peer-client.js";
@@ -152,7 +153,7 @@
             health: this.health,
             peerPort: settings.peers.port,
             isInFleet: address => this.directory.hasHost(address),
-            onState: (address, { load, onwardPressure }) => this.balancer.report(address, load, onwardPressure),
+            onState: (address, state) => this.applyPeerState(address, state),
             onDoubtful: address => {
                 this.log.decision("peer-doubtful", { peer: address });
                 this.balancer.doubt(address);
@@ -306,6 +307,7 @@
             localService: settings.service,
             localInstance: this.localInstance,
             onwardPressure: this.onwardPressure,
+            onServerLeaving: instance => this.recordLocalLeaving(instance),
             isLeaving: instance => this.directory.isLeaving(instance),
         });
     }
@@ -328,11 +330,31 @@
             onwardPressure,
             stateAnswers,
             bodyBudget: this.bodyBudget,
+            leavingServer: () => this.localServer.leaving,
             lifeCycle,
             log,
         });
     }
 
+    /** Applies what the node at an address reported of itself and of the backend server on its host. */
+    private applyPeerState(address: string, { load, onwardPressure, leaving }: NodeState): void {
+        this.balancer.report(address, load, onwardPressure);
+        if (leaving && this.directory.find(leaving.instance)?.hostAddress === address) {
+            this.directory.recordLeaving(leaving, `reported by the node at ${address}`);
+        }
+    }
+
+    /** Applies that the local server said in a response that it leaves, and tells the nodes that send requests to it. */
+    private recordLocalLeaving(instance: string): void {
+        if (this.localServer.leaving?.instance === instance) {
+            return;
+        }
+        const start = { instance, startedAtMs: this.directory.find(instance)?.startedAtMs };
+        this.directory.recordLeaving(start, "said by the server in a response");
+        this.localServer.recordLeaving(start);
+        this.peerServer.announceState();
+    }
+
     private callerServerDependencies(): Parameters<typeof createCallerServer>[0] {
         const { clock, backlog, lease, log, metrics, lifeCycle, settings } = this;
         return {
--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -5,10 +5,16 @@
 import Emittery from "emittery";
 import type { FleetHost } from "./relay-tree.js";
 
-/** Backend server as listed by the platform. */
-export interface BackendServer {
-    /** Identifies one start of a backend server, or several if the server restarts under the same name. */
+/** Identifies one start of a backend server. */
+export interface ServerStart {
+    /** Name of the server; the same for several starts if the server restarts under the same name. */
     readonly instance: string;
+    /** Unix time in ms of its start; undefined when its entry does not contain it. */
+    readonly startedAtMs: number | undefined;
+}
+
+/** Backend server as listed by the platform. */
+export interface BackendServer extends ServerStart {
     readonly service: string;
     /** IP address of its host, at which the node on that host also listens. */
     readonly hostAddress: string;
@@ -19,8 +25,6 @@
     readonly state: "ready" | "draining";
     /** Milliseconds, from when the entry was written, for which the server is still warming up and slower. */
     readonly warmUpRemainingMs: number;
-    /** Unix time in ms of its start; undefined when the entry does not contain it. */
-    readonly startedAtMs: number | undefined;
     /** Number of the entry's last write by this start of the server; counts up. */
     readonly sequence: number;
 }
@@ -163,18 +167,18 @@
         }
     }
 
-    /** Records that a listed server said in a response that it leaves; returns whether that is news. */
-    recordLeaving(instance: string, cause: string): boolean {
+    /** Records that a listed server said in a response that it leaves; a later start of the server does not. */
+    recordLeaving({ instance, startedAtMs }: ServerStart, cause: string): void {
         const server = this.servers.get(instance);
-        if (!server || server.state === "draining") {
-            return false;
+        const isOtherStart = server?.startedAtMs !== startedAtMs && startedAtMs !== undefined;
+        if (!server || server.state === "draining" || isOtherStart) {
+            return;
         }
         const draining: KnownServer = { ...server, state: "draining" };
         this.servers.set(instance, draining);
         this.ready = undefined;
         this.remember(server, "response");
         void this.events.emit("changed", { kind: "draining", server: draining, cause, maximumAgeMs: 0 });
-        return true;
     }
 
     /**
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -170,3 +170,20 @@
     assert.ok(!directory.isOutdated(server, false));
     assert.ok(directory.isOutdated(server, true), "an older copy of the store only repeats what was before");
 });
+
+test("a server that said that it leaves returns by a new start or a later write only, not by an entry on its way", () => {
+    const clock = ManualClock.create();
+    const directory = ServerDirectory.create(clock);
+    const entry = (changes: Partial<BackendServer>) => createServer("one", { startedAtMs: 5, sequence: 8, ...changes });
+    directory.upsert(entry({}), "test");
+    directory.recordLeaving({ instance: "one", startedAtMs: 4 }, "of an earlier start");
+    assert.equal(directory.readyServers("catalogue").length, 1);
+    directory.recordLeaving({ instance: "one", startedAtMs: 5 }, "test");
+    assert.equal(directory.readyServers("catalogue").length, 0);
+    clock.advance(1_000);
+    assert.ok(directory.isOutdated(entry({ sequence: 9 }), false), "written before, learned after");
+    assert.ok(!directory.isOutdated(entry({ sequence: 1, startedAtMs: 6 }), false), "a new start");
+    clock.advance(4_000);
+    assert.ok(directory.isOutdated(entry({ sequence: 9 }), false), "the same write from a peer that is behind");
+    assert.ok(!directory.isOutdated(entry({ sequence: 10 }), false), "a later write");
+});
--- a/packages/mesh/src/test/local-server-state.test.ts
+++ b/packages/mesh/src/test/local-server-state.test.ts
@@ -53,3 +53,15 @@
     state.apply(READY, 0);
     assert.ok(!gate.isClosed);
 });
+
+test("a server that said that it leaves is closed like one that drains, and reported until it starts anew", () => {
+    const start = { instance: "one", startedAtMs: 5 };
+    state.recordLeaving(start);
+    assert.ok(state.isDraining);
+    assert.deepEqual(state.leaving, start);
+    clock.advance(1_200);
+    assert.ok(gate.isClosed);
+    state.apply(createServer("one", { startedAtMs: 6 }), 0);
+    assert.ok(!gate.isClosed);
+    assert.equal(state.leaving, undefined);
+});
--- a/packages/mesh/src/test/message-frame.test.ts
+++ b/packages/mesh/src/test/message-frame.test.ts
@@ -39,7 +39,13 @@
     await new Promise<void>(resolve => listener.listen(0, "127.0.0.1", resolve));
     const socket = connect((listener.address() as AddressInfo).port, "127.0.0.1");
     const messages = MessageSocket.create(socket, { onMessage: () => undefined, onClosed: () => listener.close() });
-    const state = { load: { open: 1, waiting: 2, limit: 3 }, onwardPressure: 0.5, isStopping: false, clockMs: 0 };
+    const state = {
+        load: { open: 1, waiting: 2, limit: 3 },
+        onwardPressure: 0.5,
+        leaving: undefined,
+        isStopping: false,
+        clockMs: 0,
+    };
     const message: LinkMessage = { kind: "state", state };
     messages.send(message);
     messages.send(message);
--- a/packages/mesh/src/test/peer-server-rig.ts
+++ b/packages/mesh/src/test/peer-server-rig.ts
@@ -31,6 +31,7 @@
             activeConfigurationVersion: () => undefined,
         }),
         quota: OrganisationQuota.create(clock, "127.0.0.1", () => hosts, 2_000),
+        leavingServer: () => undefined,
         lifeCycle: LifeCycle.create(),
         log: RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 }),
     });
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -114,3 +114,29 @@
     assert.equal((await second.result).outcome.kind, "answered");
     assert.deepEqual(receivedIds, ["first", "second", "second"]);
 });
+
+test("a server is reported to leave only by a valid response of the instance that was asked", async () => {
+    const { client, receivedIds, reportedLeaving } = rig;
+    rig.localInstance.setListed("one");
+    const run = async (id: string, extraHeaders: Readonly<Record<string, string>>) => {
+        rig.extraHeaders = extraHeaders;
+        const attempt = client.send(createRequest(id), neverDisconnected);
+        await waitUntil(() => receivedIds.includes(id));
+        rig.answerLast();
+        await attempt.result;
+    };
+    await run("not", {});
+    await run("other-value", { "x-leaving": "0" });
+    await run("encoded", { "x-leaving": "1", "content-encoding": "gzip" });
+    await run("other-request", { "x-leaving": "1", "x-attempt": "another" });
+    rig.instance = "two";
+    rig.extraHeaders = { "x-leaving": "1" };
+    rig.leaving.add("two");
+    await client.send(createRequest("other-instance"), neverDisconnected).result;
+    assert.deepEqual(reportedLeaving, []);
+    rig.instance = undefined;
+    rig.localInstance.setListed("three");
+    await run("refused", { "x-leaving": "1", "x-not-run": "1" });
+    await run("answered", { "x-leaving": "1" });
+    assert.deepEqual(reportedLeaving, ["three", "three"]);
+});
--- a/packages/mesh/src/test/server-rig.ts
+++ b/packages/mesh/src/test/server-rig.ts
@@ -19,6 +19,7 @@
     expectedInstance: "x-expected",
     instance: "x-instance",
     notRun: "x-not-run",
+    leaving: "x-leaving",
     signature: "x-signature",
 };
 
@@ -41,6 +42,10 @@
     readonly leaving = new Set<string>();
     /** Instance of the server, which refuses requests for another one; undefined if it takes any. */
     instance: string | undefined;
+    /** Instances that were reported to have said that they leave. */
+    readonly reportedLeaving: string[] = [];
+    /** Header fields that the server adds to its responses. */
+    extraHeaders: Readonly<Record<string, string>> = {};
     /** Ids of the requests that the server has received. */
     readonly receivedIds: string[] = [];
     private readonly open: ServerResponse[] = [];
@@ -62,6 +67,7 @@
             localService: "catalogue",
             localInstance: this.localInstance,
             onwardPressure: this.onwardPressure,
+            onServerLeaving: instance => void this.reportedLeaving.push(instance),
             isLeaving: instance => this.leaving.has(instance),
         });
     }
@@ -74,6 +80,7 @@
             const id = String(request.headers[headerNames.attemptId]);
             rig.receivedIds.push(id);
             response.setHeader(headerNames.attemptId, id);
+            Object.entries(rig.extraHeaders).forEach(([name, value]) => response.setHeader(name, value));
             if (rig.instance !== undefined && request.headers[headerNames.expectedInstance] !== rig.instance) {
                 response.writeHead(421, { [headerNames.instance]: rig.instance }).end();
                 return;
