Hold the requests to a server within the rate that it names

Cause: there was no code for it. Change: all requests to a server pass the gate of the node on its host, so one token bucket there holds the rate, without messages. It is set by the latest response of the instance and ends with the first that names none, or with a new start. After a start of the node one request waits for the first response, which may name a rate. At most 0.25 s are waited, in the order of importance; the rest is refused with the time until its turn, and may be sent elsewhere.

--- a/packages/mesh/src/connection/http-exchange.ts
+++ b/packages/mesh/src/connection/http-exchange.ts
@@ -26,6 +26,8 @@
     readonly status: number;
     readonly headers: HeaderList;
     readonly body: Buffer;
+    /** Position of its head among those that the pool received; undefined if another node received it. */
+    readonly order?: number;
 }
 
 /** Outcome of an exchange. `sent` is false only if no byte of the request can have reached the server. */
@@ -83,6 +85,8 @@
     private readonly responseLimits = ResponseLimits.create();
     /** Whether a connection of the pool is being reset right now. */
     private isResetting = false;
+    /** Number of response heads that were received. */
+    private headCount = 0;
 
     private constructor(private readonly options: PoolOptions) {
         this.pool = new Pool(`http://${options.hostAddress}:${options.port}`, {
@@ -106,6 +110,7 @@
             responseLimits: this.responseLimits,
             shouldSend,
             isResetting: () => this.isResetting,
+            nextOrder: () => ++this.headCount,
             namesOtherRequest: headers => this.namesOtherRequest(headers, request.id),
         });
         try {
@@ -153,6 +158,7 @@
     readonly responseLimits: ResponseLimits;
     readonly shouldSend: () => boolean;
     readonly isResetting: () => boolean;
+    readonly nextOrder: () => number;
     readonly namesOtherRequest: (headers: HeaderList) => boolean;
 }
 
@@ -164,6 +170,7 @@
     private abortReason: string | undefined;
     private sent = false;
     private status = 0;
+    private order = 0;
     private headers = HeaderList.create([]);
     private readonly body = CollectedBody.create();
 
@@ -204,6 +211,7 @@
             return true;
         }
         this.status = status;
+        this.order = this.context.nextOrder();
         this.headers = HeaderList.create(rawHeaders.map(field => field.toString("latin1")));
         if (this.context.namesOtherRequest(this.headers)) {
             // The connection is closed: the response that belongs to this request may still come on it.
@@ -224,7 +232,7 @@
             return;
         }
         this.context.responseLimits.complete(this);
-        const response = { status: this.status, headers: this.headers, body: this.body.toBuffer() };
+        const response = { status: this.status, headers: this.headers, body: this.body.toBuffer(), order: this.order };
         this.settle({ kind: "answered", response });
     }
 
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -4,6 +4,7 @@
 import type { BacklogMonitor, Clock } from "@radishrouter/core";
 import type { DownstreamPressure } from "../process/downstream-pressure.js";
 import type { LocalInstance } from "../process/local-instance.js";
+import type { ServerCondition, ServerConditionDecoder } from "../process/server-condition.js";
 import type { GateOutcome, GateTicket, ServerGate } from "../process/server-gate.js";
 import type { HeaderNames } from "../request/header-names.js";
 import type { Attempt, AttemptOutcome, AttemptResult, AttemptTiming, UnknownReason } from "../request/outcome.js";
@@ -23,8 +24,9 @@
     readonly localService: string;
     readonly localInstance: LocalInstance;
     readonly onwardPressure: DownstreamPressure;
-    /** Called with an instance of the backend server that says in a response that it leaves. */
-    readonly onServerLeaving: (instance: string) => void;
+    readonly decodeCondition: ServerConditionDecoder;
+    /** Called with what an instance of the backend server said of itself in its latest response. */
+    readonly onCondition: (instance: string, condition: ServerCondition) => void;
     /** Whether an instance of the backend server is known to leave, or to have left. */
     readonly isLeaving: (instance: string) => boolean;
 }
@@ -33,8 +35,6 @@
 const CONNECT_TIMEOUT_MS = 300;
 const IDLE_TIMEOUT_MS = 4_000;
 const MISDIRECTED_STATUS = 421;
-/** Value of the header with which a server says that it leaves. */
-const IS_LEAVING = "1";
 /** Time after a failed connection for which no new connection is tried. */
 const CONNECT_BACKOFF_MS = 150;
 const RETRY_AFTER_FAILURE_MS = 300;
@@ -43,6 +43,8 @@
 export class ServerClient {
     private readonly pool: ExchangePool;
     private downUntilMs = 0;
+    /** Position of the latest response whose condition was applied. */
+    private latestOrder = 0;
 
     private constructor(private readonly dependencies: ServerClientDependencies) {
         this.pool = ExchangePool.create({
@@ -165,20 +167,22 @@
                 LEAVING :
                 this.toFailedOutcome(result.sent, result.reason, attempt.abortReason);
         }
-        this.dependencies.gate.setProbing(false);
         const outcome = this.toOutcome(request.content.id, result.response);
         if (isFromExpectedInstance(outcome)) {
             this.readCondition(instance, result.response);
         }
+        // Only now, because the response may name a rate for the requests that wait.
+        this.dependencies.gate.setProbing(false);
         return outcome;
     }
 
-    /** Applies what a valid response says of the instance that sent it. */
-    private readCondition(instance: string, { headers }: ExchangeResponse): void {
-        const { headerNames, onServerLeaving } = this.dependencies;
-        if (instance !== "" && headers.get(headerNames.leaving) === IS_LEAVING) {
-            onServerLeaving(instance);
+    /** Applies what a valid response says of the instance that sent it, unless a later one was read before. */
+    private readCondition(instance: string, { headers, order = 0 }: ExchangeResponse): void {
+        if (instance === "" || order < this.latestOrder) {
+            return;
         }
+        this.latestOrder = order;
+        this.dependencies.onCondition(instance, this.dependencies.decodeCondition(headers));
     }
 
     /**
--- a/packages/mesh/src/process/local-server-state.ts
+++ b/packages/mesh/src/process/local-server-state.ts
@@ -3,6 +3,8 @@
  */
 import type { Clock, Timer } from "@radishrouter/core";
 import type { LocalInstance } from "./local-instance.js";
+import type { RequestLog } from "./request-log.js";
+import type { NamedRateLimit } from "./server-condition.js";
 import type { KnownServer, ServerStart } from "./server-directory.js";
 import type { ServerGate } from "./server-gate.js";
 
@@ -11,6 +13,7 @@
     readonly clock: Clock;
     readonly gate: ServerGate;
     readonly localInstance: LocalInstance;
+    readonly log: RequestLog;
     /** Time for which a server that leaves may still get requests. */
     readonly drainMs: number;
 }
@@ -25,6 +28,10 @@
     private draining = false;
     private leavingStart: ServerStart | undefined;
     private closingTimer: Timer | undefined;
+    /** Start that is listed. */
+    private listedStart: ServerStart | undefined;
+    /** Instance whose unusable rate limit was logged. */
+    private loggedInstance: string | undefined;
 
     private constructor(private readonly options: LocalServerStateOptions) {}
 
@@ -48,6 +55,7 @@
         localInstance.setListed(server?.instance);
         if (server) {
             gate.setSlots(server.slots);
+            this.forgetLimitOfOtherStart(server);
         }
         if (server?.state === "ready") {
             this.open();
@@ -64,6 +72,44 @@
         this.drain(0);
     }
 
+    /** Applies the rate limit that an instance of the server names, or that it names none any more. */
+    setRateLimit(instance: string, limit: NamedRateLimit): void {
+        const { gate, log } = this.options;
+        switch (limit.kind) {
+            case "none":
+                this.changeRateLimit(instance, undefined);
+                return;
+            case "limited":
+                this.changeRateLimit(instance, limit.ratePerSecond);
+                return;
+            case "invalid":
+                if (this.loggedInstance !== instance) {
+                    this.loggedInstance = instance;
+                    log.problem("server-rate-limit-refused", { instance, named: limit.text, held: gate.ratePerSecond });
+                }
+                return;
+        }
+    }
+
+    private changeRateLimit(instance: string, ratePerSecond: number | undefined): void {
+        const { gate, log } = this.options;
+        const before = gate.ratePerSecond;
+        if (before === ratePerSecond) {
+            return;
+        }
+        gate.setRateLimit(ratePerSecond);
+        log.decision("server-rate-limit", { instance, ratePerSecond, before });
+    }
+
+    /** A limit holds for the start of the server that named it. */
+    private forgetLimitOfOtherStart(server: KnownServer): void {
+        const before = this.listedStart;
+        this.listedStart = toStart(server);
+        if (before && (before.instance !== server.instance || before.startedAtMs !== server.startedAtMs)) {
+            this.changeRateLimit(server.instance, undefined);
+        }
+    }
+
     private open(): void {
         this.draining = false;
         this.leavingStart = undefined;
--- a/packages/mesh/src/process/mesh-metrics.ts
+++ b/packages/mesh/src/process/mesh-metrics.ts
@@ -7,6 +7,8 @@
 /** Functions that read the values of gauges each time the metrics are collected. */
 export interface MetricsSources {
     readonly load: () => ServerLoad;
+    /** Requests a second that the local server names; undefined if it names no limit. */
+    readonly serverRatePerSecond: () => number | undefined;
     readonly configurationVersion: () => number | undefined;
     readonly proofAgeMs: () => number;
     readonly knownServers: () => number;
@@ -41,6 +43,11 @@
         this.addGauge("radishrouter_open_requests", "Requests at the own backend server", () => sources.load().open);
         this.addGauge("radishrouter_waiting_requests", "Requests that wait for a slot", () => sources.load().waiting);
         this.addGauge("radishrouter_request_limit", "Requests let in at once", () => sources.load().limit);
+        this.addGauge(
+            "radishrouter_server_rate_limit",
+            "Requests a second that the own backend server names; -1 without a limit",
+            () => sources.serverRatePerSecond() ?? -1,
+        );
         this.addGauge(
             "radishrouter_configuration_version",
             "Configuration version in force; -1 without one",
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -37,6 +37,7 @@
 import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
 import type { QuotaTolerance } from "./quota-reserve.js";
 import { RequestLog } from "./request-log.js";
+import type { ServerCondition, ServerConditionDecoder } from "./server-condition.js";
 import { ServerDirectory } from "./server-directory.js";
 import type { DirectoryChange } from "./server-directory.js";
 import { ServerGate } from "./server-gate.js";
@@ -58,6 +59,7 @@
     readonly readiness: ListenAddress & { readonly path: string; };
     readonly metrics: (ListenAddress & { readonly path: string; }) | undefined;
     readonly headerNames: HeaderNames;
+    readonly decodeServerCondition: ServerConditionDecoder;
     /** Time after which a withdrawn key must be refused; undefined where keys need no proof that they are current. */
     readonly keyLeaseMs: number | undefined;
     /** Time from the stop signal until the process is killed. */
@@ -126,6 +128,7 @@
             clock,
             gate: this.gate,
             localInstance: this.localInstance,
+            log: this.log,
             drainMs: settings.drainMs,
         });
         this.health = PeerHealth.create(clock);
@@ -143,6 +146,7 @@
         );
         this.metrics = MeshMetrics.create({
             load: () => this.gate.load(),
+            serverRatePerSecond: () => this.gate.ratePerSecond,
             configurationVersion: () => this.version?.configuration.version,
             proofAgeMs: () => this.lease.ageMs(),
             knownServers: () => [...this.directory.all()].length,
@@ -307,7 +311,8 @@
             localService: settings.service,
             localInstance: this.localInstance,
             onwardPressure: this.onwardPressure,
-            onServerLeaving: instance => this.recordLocalLeaving(instance),
+            decodeCondition: settings.decodeServerCondition,
+            onCondition: (instance, condition) => this.applyLocalCondition(instance, condition),
             isLeaving: instance => this.directory.isLeaving(instance),
         });
     }
@@ -344,6 +349,14 @@
         }
     }
 
+    /** Applies what the local server said of itself in a response. */
+    private applyLocalCondition(instance: string, { isLeaving, rateLimit }: ServerCondition): void {
+        this.localServer.setRateLimit(instance, rateLimit);
+        if (isLeaving) {
+            this.recordLocalLeaving(instance);
+        }
+    }
+
     /** Applies that the local server said in a response that it leaves, and tells the nodes that send requests to it. */
     private recordLocalLeaving(instance: string): void {
         if (this.localServer.leaving?.instance === instance) {
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -2,9 +2,11 @@
  * Decides which requests to the local backend server are admitted, which wait, and which are refused at once.
  *
  * Protects the server against a load above what it can run: all requests reach the server through this gate, so the
- * gate knows the full load of the server and keeps the number of requests in flight within the server's slots.
+ * gate knows the full load of the server. It keeps the number of requests in flight within the server's slots, and the
+ * requests in a second within the rate that the server names.
  */
 import type { Clock, Timer } from "@radishrouter/core";
+import { ServerRateLimit } from "./server-rate-limit.js";
 
 /** Properties of a request that the gate decides by. */
 export interface GateRequest {
@@ -24,7 +26,14 @@
     | { readonly kind: "refused"; readonly reason: GateRefusal; readonly retryAfterMs: number; };
 
 /** Why a gate refuses a request. */
-export type GateRefusal = "no-time-left" | "queue-too-long" | "leaving" | "caller-gone" | "server-down";
+export type GateRefusal =
+    | "no-time-left"
+    | "queue-too-long"
+    /** The wait for the rate that the server names is longer than trying another server. */
+    | "over-server-rate"
+    | "leaving"
+    | "caller-gone"
+    | "server-down";
 
 /** A request that was admitted or waits. */
 export interface GateTicket {
@@ -67,6 +76,8 @@
 const INITIAL_SERVICE_TIME_MS = 30;
 /** Weight of the newest service time in the moving averages. */
 const SMOOTHING_FACTOR = 0.1;
+/** Longest wait for the server's rate; another server may take the request at once. */
+const MAXIMUM_RATE_WAIT_MS = 250;
 const MINIMUM_RETRY_AFTER_MS = 100;
 /** Random addition to the retry-after time, as a fraction of it, so that refused callers do not return together. */
 const RETRY_AFTER_JITTER = 0.5;
@@ -84,8 +95,13 @@
     /** Moving average of the service times of each route. */
     private readonly serviceTimesMs = new Map<string, number>();
     private meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
+    private readonly rateLimit: ServerRateLimit;
+    /** Admits the next waiting request when the server's rate allows it. */
+    private rateTimer: Timer | undefined;
 
-    private constructor(private readonly clock: Clock, private readonly random: () => number) {}
+    private constructor(private readonly clock: Clock, private readonly random: () => number) {
+        this.rateLimit = ServerRateLimit.create(clock);
+    }
 
     static create(clock: Clock, random: () => number = Math.random): ServerGate {
         return new ServerGate(clock, random);
@@ -99,6 +115,17 @@
         this.admitWaiting();
     }
 
+    /** Sets the requests a second that the server names for all nodes together; undefined if it names none. */
+    setRateLimit(ratePerSecond: number | undefined): void {
+        this.rateLimit.set(ratePerSecond);
+        this.admitWaiting();
+    }
+
+    /** Requests a second that the server names; undefined if it names no limit. */
+    get ratePerSecond(): number | undefined {
+        return this.rateLimit.ratePerSecond;
+    }
+
     /** Admits one request at a time while it is not known whether the server responds. */
     setProbing(isProbing: boolean): void {
         if (this.isProbing !== isProbing) {
@@ -156,7 +183,7 @@
             waiter.state = "ended";
             return { decision: Promise.resolve(refusal), end };
         }
-        if (this.open < this.limit && this.waiting === 0) {
+        if (this.open < this.limit && this.waiting === 0 && this.rateLimit.tryTake()) {
             this.admit(waiter);
             return { decision: Promise.resolve({ kind: "admitted" }), end };
         }
@@ -164,6 +191,7 @@
             waiter.decide = decide;
             this.enqueue(waiter);
             this.scheduleRefusal(waiter);
+            this.scheduleAdmission();
         });
         return { decision, end };
     }
@@ -228,7 +256,13 @@
         if (this.isDraining) {
             return { kind: "refused", reason: "leaving", retryAfterMs: 0 };
         }
-        const waitMs = this.expectedWaitMs(rankOf(request));
+        const rank = rankOf(request);
+        const rateWaitMs = this.rateLimit.timeUntilAvailableMs(this.countAhead(rank) + 1);
+        if (rateWaitMs > MAXIMUM_RATE_WAIT_MS) {
+            const retryAfterMs = rateWaitMs * (1 + this.random() * RETRY_AFTER_JITTER);
+            return { kind: "refused", reason: "over-server-rate", retryAfterMs };
+        }
+        const waitMs = Math.max(rateWaitMs, this.expectedWaitMs(rank));
         const slackMs = request.softDeadlineAtMs - this.clock.nowMs() - this.expectedServiceTimeMs(request.route);
         if (waitMs === 0 || waitMs <= slackMs) {
             return undefined;
@@ -255,6 +289,15 @@
         return queuedWorkMs / this.limit;
     }
 
+    /** Number of waiting requests that are admitted before a new one of a rank. */
+    private countAhead(rank: number): number {
+        if (this.waiting === 0) {
+            return 0;
+        }
+        return this.ranks.filter(other => other <= rank)
+            .reduce((count, other) => count + (this.queues.get(other)?.length ?? 0), 0);
+    }
+
     private enqueue(waiter: Waiter): void {
         let queue = this.queues.get(waiter.rank);
         if (!queue) {
@@ -289,7 +332,7 @@
     }
 
     private admitWaiting(): void {
-        while (this.open < this.limit && this.waiting > 0) {
+        while (this.open < this.limit && this.waiting > 0 && this.rateLimit.timeUntilAvailableMs(1) === 0) {
             const waiter = this.dequeue();
             if (!waiter) {
                 return;
@@ -299,9 +342,23 @@
                 this.refuse(waiter, "no-time-left", this.shortRetryAfterMs());
                 continue;
             }
+            this.rateLimit.tryTake();
             this.admit(waiter);
             waiter.decide({ kind: "admitted" });
         }
+        this.scheduleAdmission();
+    }
+
+    /** Sets a timer for when the server's rate allows the next waiting request. */
+    private scheduleAdmission(): void {
+        const waitMs = this.rateLimit.timeUntilAvailableMs(1);
+        if (this.rateTimer || this.waiting === 0 || waitMs === 0) {
+            return;
+        }
+        this.rateTimer = this.clock.setTimer(Math.ceil(waitMs), () => {
+            this.rateTimer = undefined;
+            this.admitWaiting();
+        });
     }
 }
 
--- /dev/null
+++ b/packages/mesh/src/process/server-rate-limit.ts
@@ -0,0 +1,59 @@
+/**
+ * Holds the requests to the local backend server within the rate that the server names in its responses.
+ *
+ * All requests of the fleet pass the node on the server's host, so one token bucket there holds the rate exactly.
+ */
+import type { Clock } from "@radishrouter/core";
+import { TokenBucket } from "@radishrouter/core";
+
+/** Time for whose requests the bucket has room, so that requests which come together are not held up. */
+const BURST_MS = 250;
+/** Smallest rate that is used: without a request now and then, nothing would tell that the limit has ended. */
+const MINIMUM_RATE_PER_SECOND = 0.5;
+const SECOND_MS = 1_000;
+
+/** Rate limit of the local backend server; without one, requests pass freely. */
+export class ServerRateLimit {
+    private bucket: TokenBucket | undefined;
+    private namedRatePerSecond: number | undefined;
+
+    private constructor(private readonly clock: Clock) {}
+
+    static create(clock: Clock): ServerRateLimit {
+        return new ServerRateLimit(clock);
+    }
+
+    /** Rate in requests a second that the server named; undefined if it names none. */
+    get ratePerSecond(): number | undefined {
+        return this.namedRatePerSecond;
+    }
+
+    /** Sets the rate that the server names, or undefined when it names none any more. */
+    set(ratePerSecond: number | undefined): void {
+        if (ratePerSecond === this.namedRatePerSecond) {
+            return;
+        }
+        this.namedRatePerSecond = ratePerSecond;
+        this.bucket = ratePerSecond === undefined ? undefined : this.updateBucket(ratePerSecond);
+    }
+
+    /** Takes the token of one request, if there is one. */
+    tryTake(): boolean {
+        return this.bucket?.tryTake() ?? true;
+    }
+
+    /** Time in ms until the tokens of `count` requests are available. */
+    timeUntilAvailableMs(count: number): number {
+        return this.bucket?.timeUntilAvailableMs(count) ?? 0;
+    }
+
+    private updateBucket(namedRatePerSecond: number): TokenBucket {
+        const ratePerSecond = Math.max(MINIMUM_RATE_PER_SECOND, namedRatePerSecond);
+        const burst = Math.max(1, ratePerSecond * BURST_MS / SECOND_MS);
+        if (!this.bucket) {
+            return TokenBucket.create(this.clock, { ratePerSecond, burst, initialTokens: burst });
+        }
+        this.bucket.setLimits(ratePerSecond, burst);
+        return this.bucket;
+    }
+}
--- a/packages/mesh/src/request/header-names.ts
+++ b/packages/mesh/src/request/header-names.ts
@@ -20,8 +20,6 @@
     readonly instance: string;
     /** States in a response that the request was not run. */
     readonly notRun: string;
-    /** States in a response, with the value `1`, that the backend server leaves. */
-    readonly leaving: string;
     /** Marks a response as coming from a backend server. */
     readonly signature: string;
 }
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -74,6 +74,7 @@
 
 const CAPACITY_REASONS: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
     "queue-too-long",
+    "over-server-rate",
     "no-time-left",
     "not-connected",
     "server-down",
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -15,7 +15,7 @@
 import type { KnownServer, ServerDirectory } from "../process/server-directory.js";
 import type { ServiceRetryBudget } from "../process/service-retry-budget.js";
 import { isCapacityRefusal, isServerError } from "./outcome.js";
-import type { Attempt, AttemptOutcome, FailedOutcome, UnknownReason } from "./outcome.js";
+import type { Attempt, AttemptOutcome, FailedOutcome, NotRunReason, UnknownReason } from "./outcome.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
 /** Components that relays use. */
@@ -210,7 +210,7 @@
                 return;
             case "not-run":
                 this.arrivals += outcome.reached ? 1 : 0;
-                this.queueRefusals += outcome.reason === "queue-too-long" ? 1 : 0;
+                this.queueRefusals += isQueueRefusal(outcome.reason) ? 1 : 0;
                 this.retryAfterMs = Math.max(this.retryAfterMs, outcome.retryAfterMs);
                 this.lastReason = outcome.reason;
                 this.dependencies.balancer.avoid(server, outcome.reason === "not-connected" ? "loss" : "refusal");
@@ -286,6 +286,11 @@
     }
 }
 
+/** Whether a request was refused because others are ahead of it. */
+function isQueueRefusal(reason: NotRunReason): boolean {
+    return reason === "queue-too-long" || reason === "over-server-rate";
+}
+
 function verdictOf(outcome: AttemptOutcome): ServerVerdict {
     switch (outcome.kind) {
         case "answered":
--- a/packages/mesh/src/test/local-server-state.test.ts
+++ b/packages/mesh/src/test/local-server-state.test.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@radishrouter/core";
 import assert from "node:assert/strict";
 import { beforeEach, test } from "node:test";
-import { LocalInstance, LocalServerState, ServerGate } from "../index.js";
+import { LocalInstance, LocalServerState, RequestLog, ServerGate } from "../index.js";
 import { createServer } from "./example-values.js";
 
 const DRAIN_MS = 2_000;
@@ -15,7 +15,8 @@
 beforeEach(() => {
     clock = ManualClock.create();
     gate = ServerGate.create(clock);
-    state = LocalServerState.create({ clock, gate, localInstance: LocalInstance.create(), drainMs: DRAIN_MS });
+    const log = RequestLog.create(clock, { host: "a", decisionLinesPerSecond: 0, successSampleInterval: 1 });
+    state = LocalServerState.create({ clock, gate, log, localInstance: LocalInstance.create(), drainMs: DRAIN_MS });
     state.apply(READY, 0);
 });
 
@@ -65,3 +66,21 @@
     assert.ok(!gate.isClosed);
     assert.equal(state.leaving, undefined);
 });
+
+test("the rate that a server names holds until it names none, and not for another start at its address", () => {
+    state.setRateLimit("one", { kind: "limited", ratePerSecond: 7.5 });
+    assert.equal(gate.ratePerSecond, 7.5);
+    state.setRateLimit("one", { kind: "limited", ratePerSecond: 3 });
+    state.setRateLimit("one", { kind: "invalid", text: "-1" });
+    assert.equal(gate.ratePerSecond, 3, "what is no rate changes nothing");
+    state.setRateLimit("one", { kind: "none" });
+    assert.equal(gate.ratePerSecond, undefined);
+    state.setRateLimit("one", { kind: "limited", ratePerSecond: 3 });
+    state.apply(createServer("one", { slots: 7 }), 0);
+    assert.equal(gate.ratePerSecond, 3);
+    state.apply(createServer("one", { startedAtMs: 6 }), 0);
+    assert.equal(gate.ratePerSecond, undefined);
+    state.setRateLimit("one", { kind: "limited", ratePerSecond: 3 });
+    state.apply(createServer("two", { startedAtMs: 7 }), 0);
+    assert.equal(gate.ratePerSecond, undefined);
+});
--- a/packages/mesh/src/test/organisation-tally.test.ts
+++ b/packages/mesh/src/test/organisation-tally.test.ts
@@ -20,6 +20,7 @@
     counters.record("mission", "refusedForRate");
     const metrics = MeshMetrics.create({
         load: () => ({ open: 0, waiting: 0, limit: 1 }),
+        serverRatePerSecond: () => undefined,
         configurationVersion: () => 7,
         proofAgeMs: () => 0,
         knownServers: () => 2,
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -140,3 +140,41 @@
     await run("answered", { "x-leaving": "1" });
     assert.deepEqual(reportedLeaving, ["three", "three"]);
 });
+
+test("after a start, the rate that the first response names holds for all requests that wait for it", async () => {
+    const { client, gate, receivedIds } = rig;
+    gate.setSlots(10);
+    rig.localInstance.setListed("one");
+    rig.extraHeaders = { "x-limit": "1" };
+    const ids = ["first", "second", "third", "fourth"];
+    const attempts = ids.map(id => client.send(createRequest(id), neverDisconnected));
+    await waitUntil(() => receivedIds.length === 1);
+    rig.answerLast();
+    await attempts[0]!.result;
+    await waitUntil(() => receivedIds.length === 2);
+    await rig.sendMarkerRequest();
+    assert.deepEqual(receivedIds, ["first", "second", "marker"]);
+    attempts.forEach(attempt => attempt.abort("caller-gone"));
+    await Promise.all(attempts.map(attempt => attempt.result));
+});
+
+test("of responses that end in another order than they began, the one that began last names the rate", async () => {
+    const { client, gate } = rig;
+    gate.setSlots(10);
+    rig.localInstance.setListed("one");
+    const opener = client.send(createRequest("opener"), neverDisconnected);
+    await waitUntil(() => rig.receivedIds.includes("opener"));
+    rig.answerLast();
+    await opener.result;
+    const slow = client.send(createRequest("slow"), neverDisconnected);
+    await waitUntil(() => rig.receivedIds.includes("slow"));
+    const endSlow = rig.beginAnswer();
+    rig.extraHeaders = { "x-limit": "5" };
+    const quick = client.send(createRequest("quick"), neverDisconnected);
+    await waitUntil(() => rig.receivedIds.includes("quick"));
+    rig.answerLast();
+    await quick.result;
+    endSlow();
+    await slow.result;
+    assert.equal(gate.ratePerSecond, 5);
+});
--- a/packages/mesh/src/test/server-gate.test.ts
+++ b/packages/mesh/src/test/server-gate.test.ts
@@ -146,3 +146,59 @@
     assert.ok(answered.every(tookMs => tookMs <= objectiveMs + stepMs), `longest ${Math.max(...answered)} ms`);
     assert.ok(refused > 0);
 });
+
+for (const ratePerSecond of [0, 0.3, 3, 38.1, 250]) {
+    test(`a server that names ${ratePerSecond} requests a second gets no more, and as many where there are more`, async () => {
+        const clock = ManualClock.create();
+        const gate = ServerGate.create(clock, noJitter);
+        gate.setSlots(1_000);
+        gate.setRateLimit(ratePerSecond);
+        const admittedAtMs: number[] = [];
+        const stepMs = 2;
+        for (let atMs = 0; atMs < 12_000; atMs += stepMs) {
+            const ticket = gate.enter(createGateRequest({ softDeadlineAtMs: clock.nowMs() + 1_000 }));
+            void ticket.decision.then(({ kind }) => {
+                if (kind === "admitted") {
+                    admittedAtMs.push(clock.nowMs());
+                    ticket.end({ kind: "answered", serviceMs: 1 });
+                }
+            });
+            await new Promise(resolve => setImmediate(resolve));
+            clock.advance(stepMs);
+        }
+        const windowMs = 4_000;
+        const inWindow = (fromMs: number) =>
+            admittedAtMs.filter(atMs => atMs >= fromMs && atMs < fromMs + windowMs).length;
+        const most = Math.max(...admittedAtMs.map(inWindow));
+        const offered = Math.min(ratePerSecond, 1_000 / stepMs) * windowMs / 1_000;
+        assert.ok(most <= offered * 1.5 + 5, `${most} in 4 s`);
+        assert.ok(inWindow(4_000) >= Math.max(1, Math.floor(offered * 0.95)), `${inWindow(4_000)} in 4 s`);
+    });
+}
+
+test("within the rate that a server names, important requests go first, and the others are told when to return", async () => {
+    const clock = ManualClock.create();
+    const gate = ServerGate.create(clock, noJitter);
+    gate.setSlots(100);
+    gate.setRateLimit(20);
+    const admitted = [0, 0];
+    const retryAfterMs: number[] = [];
+    for (let atMs = 0; atMs < 4_000; atMs += 10) {
+        const priority = atMs % 40 === 0 ? 0 : 1;
+        const ticket = gate.enter(createGateRequest({ priority, softDeadlineAtMs: clock.nowMs() + 1_000 }));
+        void ticket.decision.then(decision => {
+            if (decision.kind === "admitted") {
+                admitted[priority]!++;
+                ticket.end({ kind: "answered", serviceMs: 1 });
+            }
+            else {
+                retryAfterMs.push(decision.retryAfterMs);
+            }
+        });
+        await new Promise(resolve => setImmediate(resolve));
+        clock.advance(10);
+    }
+    assert.ok(admitted[0]! >= 75, `${admitted[0]} of 100 important ones where 80 to 85 fit`);
+    assert.ok(admitted[1]! <= 10, `${admitted[1]} others`);
+    assert.ok(Math.min(...retryAfterMs) >= 50, "one request of the rate takes 50 ms");
+});
--- a/packages/mesh/src/test/server-rig.ts
+++ b/packages/mesh/src/test/server-rig.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from "node:net";
 import { ServerClient } from "../connection/server-client.js";
 import { DownstreamPressure, LocalInstance, ServerGate } from "../index.js";
-import type { HeaderNames } from "../index.js";
+import type { HeaderNames, NamedRateLimit } from "../index.js";
 
 const POLL_MS = 5;
 const headerNames: HeaderNames = {
@@ -19,7 +19,6 @@
     expectedInstance: "x-expected",
     instance: "x-instance",
     notRun: "x-not-run",
-    leaving: "x-leaving",
     signature: "x-signature",
 };
 
@@ -30,6 +29,10 @@
     }
 }
 
+function toRateLimit(text: string | undefined): NamedRateLimit {
+    return text === undefined ? { kind: "none" } : { kind: "limited", ratePerSecond: Number(text) };
+}
+
 /** A client and its backend server, which responds only when the test requests it; the gate has one slot. */
 export class ServerRig {
     readonly clock = ManualClock.create(1_000);
@@ -67,7 +70,16 @@
             localService: "catalogue",
             localInstance: this.localInstance,
             onwardPressure: this.onwardPressure,
-            onServerLeaving: instance => void this.reportedLeaving.push(instance),
+            decodeCondition: headers => ({
+                isLeaving: headers.get("x-leaving") === "1",
+                rateLimit: toRateLimit(headers.get("x-limit")),
+            }),
+            onCondition: (instance, { isLeaving, rateLimit }) => {
+                this.gate.setRateLimit(rateLimit.kind === "limited" ? rateLimit.ratePerSecond : undefined);
+                if (isLeaving) {
+                    this.reportedLeaving.push(instance);
+                }
+            },
             isLeaving: instance => this.leaving.has(instance),
         });
     }
@@ -96,6 +108,13 @@
         this.open.pop()?.end("answer");
     }
 
+    /** Sends the head of a response to the request that was received last; the returned function sends the rest. */
+    beginAnswer(): () => void {
+        const response = this.open.pop();
+        response?.write("begin");
+        return () => response?.end("end");
+    }
+
     /** Ends an event loop iteration, as the code under test sees it. */
     async endIteration(): Promise<void> {
         this.iterationEnds.splice(0).forEach(callback => callback());
