Choose rate-limited servers for the part of the requests that fits their rate

Change: the node on the server's host adapts one fraction until what arrives fits the rate, whatever the number of nodes, and reports it with its state; the others leave the server out of the choice for the rest, so that they do not all take the same last request of the rate. A request that was refused for a rate goes to a server that is not known to name one, and may try more of them, because such a refusal costs the server nothing.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -35,6 +35,8 @@
     readonly load: ServerLoad;
     /** Downstream pressure: fraction of its server's recent downstream calls that were refused for lack of capacity. */
     readonly onwardPressure: number;
+    /** Fraction of their requests that nodes should send to the server on the node's host; 1 if it names no rate. */
+    readonly rateShare: number;
     /** Start of the server on the node's host that leaves; undefined if it does not leave. */
     readonly leaving: ServerStart | undefined;
     /** Whether the node has begun a planned shutdown. */
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -241,6 +241,7 @@
         return {
             load: gate.load(),
             onwardPressure: onwardPressure.current(),
+            rateShare: gate.rateShare(),
             leaving: leavingServer(),
             isStopping: lifeCycle.isStopping,
             clockMs: clock.nowMs(),
--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -30,6 +30,7 @@
 export * from "./process/published-state-reader.js";
 export * from "./process/quota-holders.js";
 export * from "./process/quota-reserve.js";
+export * from "./process/rate-share.js";
 export * from "./process/relay-tree.js";
 export * from "./process/request-log.js";
 export * from "./process/server-condition.js";
--- a/packages/mesh/src/process/load-balancer.ts
+++ b/packages/mesh/src/process/load-balancer.ts
@@ -4,7 +4,7 @@
  * Handles uneven load: servers of different speed, servers that are warming up or failing, and bursts in one failure
  * domain. This node knows the load that the node on a server's host reported with its last response, and its own
  * attempts in flight at that server. The latter count at once, so that not all requests go to the server whose last
- * report showed the lowest load.
+ * report showed the lowest load. A server that names a rate is left out of the choice for a part of the requests.
  */
 import type { Clock } from "@radishrouter/core";
 import { decayFactor } from "@radishrouter/core";
@@ -22,6 +22,8 @@
     limit: number;
     /** Downstream pressure at the last report: the fraction of the server's downstream calls that were refused. */
     onwardPressure: number;
+    /** Fraction of the requests for which the server is in the choice, at the last report. */
+    rateShare: number;
     reportedAtMs: number;
     /** Fraction of the recent attempts that failed at the server. */
     failedFraction: number;
@@ -30,6 +32,15 @@
     isDoubtful: boolean;
 }
 
+/** What the node on a server's host reports of the server. */
+export interface ServerReport {
+    readonly load: ServerLoad;
+    /** Fraction of the server's recent downstream calls that were refused for lack of capacity. */
+    readonly onwardPressure: number;
+    /** Fraction of their requests that nodes should send to the server; 1 if it names no rate. */
+    readonly rateShare: number;
+}
+
 /** Location of the node that chooses. */
 export interface BalancerOrigin {
     readonly failureDomain: string;
@@ -42,6 +53,10 @@
     readonly candidates: readonly KnownServer[];
     /** Instances that were already tried for this request. */
     readonly tried: ReadonlySet<string>;
+    /** Fraction of the requests for which the server on the origin's host is in the choice. */
+    readonly localRateShare: number;
+    /** Whether servers that are known to name a rate are left out, because the request was refused for one before. */
+    readonly avoidsRateLimited: boolean;
     /** Whether the node on a server's host can be used. */
     readonly isReachable: (server: KnownServer) => boolean;
 }
@@ -50,6 +65,10 @@
 const REPORT_HALF_LIFE_MS = 500;
 /** Cost (mainly the utilization of a server's slots) below which nearer servers are preferred. */
 const NEAR_UTILIZATION_LIMIT = 0.8;
+/** Time in which half of a rate share is forgotten, so that a node which sends seldom learns that a limit has ended. */
+const RATE_SHARE_HALF_LIFE_MS = 30_000;
+/** Share above which a server counts as one that names no rate. */
+const UNLIMITED_SHARE = 0.95;
 const OTHER_DOMAIN_COST = 0.15;
 const WARM_UP_COST = 0.3;
 const FAILURE_COST = 1.5;
@@ -77,7 +96,9 @@
         const reachable = untried.filter(server => request.isReachable(server));
         const nowMs = this.clock.nowMs();
         const notAvoided = reachable.filter(server => this.observationOf(server).avoidUntilMs <= nowMs);
-        const usable = notAvoided.length > 0 ? notAvoided : reachable;
+        const available = notAvoided.length > 0 ? notAvoided : reachable;
+        const withinRate = available.filter(server => this.isWithinRate(server, request));
+        const usable = withinRate.length > 0 ? withinRate : available;
         const near = this.chooseNear(usable, origin);
         return near ?? this.chooseBetweenTwo(usable, origin);
     }
@@ -97,8 +118,8 @@
         }
     }
 
-    /** Stores the load that the node at an address reported for the server on its host. */
-    report(hostAddress: string, load: ServerLoad, onwardPressure: number): void {
+    /** Stores what the node at an address reported of the server on its host. */
+    report(hostAddress: string, { load, onwardPressure, rateShare }: ServerReport): void {
         const observation = this.observations.get(hostAddress);
         if (!observation) {
             return;
@@ -106,6 +127,7 @@
         observation.limit = load.limit;
         observation.othersInFlight = Math.max(0, load.open + load.waiting - observation.localInFlight);
         observation.onwardPressure = onwardPressure;
+        observation.rateShare = rateShare;
         observation.reportedAtMs = this.clock.nowMs();
         if (observation.isDoubtful) {
             observation.isDoubtful = false;
@@ -169,6 +191,23 @@
         return this.cost(left, origin) <= this.cost(right, origin) ? left : right;
     }
 
+    /** Whether a server is in the choice for this request, by the fraction that its rate allows. */
+    private isWithinRate(
+        server: KnownServer,
+        { origin, localRateShare, avoidsRateLimited }: SelectionRequest,
+    ): boolean {
+        const share = server.hostAddress === origin.hostAddress ? localRateShare : this.lastRateShare(server);
+        if (share > UNLIMITED_SHARE) {
+            return true;
+        }
+        return !avoidsRateLimited && this.random() < share;
+    }
+
+    private lastRateShare(server: KnownServer): number {
+        const { rateShare, reportedAtMs } = this.observationOf(server);
+        return 1 - (1 - rateShare) * decayFactor(this.clock.nowMs() - reportedAtMs, RATE_SHARE_HALF_LIFE_MS);
+    }
+
     private reportWeight(observation: Observation): number {
         return decayFactor(this.clock.nowMs() - observation.reportedAtMs, REPORT_HALF_LIFE_MS);
     }
@@ -191,6 +230,7 @@
                 othersInFlight: 0,
                 limit: Math.max(1, server.slots),
                 onwardPressure: 0,
+                rateShare: 1,
                 reportedAtMs: this.clock.nowMs(),
                 failedFraction: 0,
                 avoidUntilMs: 0,
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -342,8 +342,9 @@
     }
 
     /** Applies what the node at an address reported of itself and of the backend server on its host. */
-    private applyPeerState(address: string, { load, onwardPressure, leaving }: NodeState): void {
-        this.balancer.report(address, load, onwardPressure);
+    private applyPeerState(address: string, state: NodeState): void {
+        this.balancer.report(address, state);
+        const { leaving } = state;
         if (leaving && this.directory.find(leaving.instance)?.hostAddress === address) {
             this.directory.recordLeaving(leaving, `reported by the node at ${address}`);
         }
@@ -404,6 +405,7 @@
                 onwardPressure: this.onwardPressure,
                 throttle: this.throttle,
                 retryBudgetOf: service => this.retryBudgetOf(service),
+                localRateShare: () => this.gate.rateShare(),
                 isLocalServerDraining: () => this.localServer.isDraining,
             },
         };
--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -6,6 +6,7 @@
  * requests in a second within the rate that the server names.
  */
 import type { Clock, Timer } from "@radishrouter/core";
+import { RateShare } from "./rate-share.js";
 import { ServerRateLimit } from "./server-rate-limit.js";
 
 /** Properties of a request that the gate decides by. */
@@ -96,11 +97,13 @@
     private readonly serviceTimesMs = new Map<string, number>();
     private meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
     private readonly rateLimit: ServerRateLimit;
+    private readonly share: RateShare;
     /** Admits the next waiting request when the server's rate allows it. */
     private rateTimer: Timer | undefined;
 
     private constructor(private readonly clock: Clock, private readonly random: () => number) {
         this.rateLimit = ServerRateLimit.create(clock);
+        this.share = RateShare.create(clock);
     }
 
     static create(clock: Clock, random: () => number = Math.random): ServerGate {
@@ -126,6 +129,11 @@
         return this.rateLimit.ratePerSecond;
     }
 
+    /** Fraction of their requests that nodes should send to the server, so that they fit the rate that it names. */
+    rateShare(): number {
+        return this.share.current(this.rateLimit.ratePerSecond);
+    }
+
     /** Admits one request at a time while it is not known whether the server responds. */
     setProbing(isProbing: boolean): void {
         if (this.isProbing !== isProbing) {
@@ -178,6 +186,7 @@
             timer: undefined,
         };
         const end = (outcome: GateOutcome) => this.end(waiter, outcome);
+        this.share.recordArrival();
         const refusal = this.immediateRefusalOf(request);
         if (refusal) {
             waiter.state = "ended";
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -15,7 +15,7 @@
 import type { KnownServer, ServerDirectory } from "../process/server-directory.js";
 import type { ServiceRetryBudget } from "../process/service-retry-budget.js";
 import { isCapacityRefusal, isServerError } from "./outcome.js";
-import type { Attempt, AttemptOutcome, FailedOutcome, NotRunReason, UnknownReason } from "./outcome.js";
+import type { Attempt, AttemptOutcome, FailedOutcome, UnknownReason } from "./outcome.js";
 import type { RelayedRequest } from "./relayed-request.js";
 
 /** Components that relays use. */
@@ -33,6 +33,8 @@
     readonly onwardPressure: DownstreamPressure;
     readonly throttle: DownstreamThrottle;
     readonly retryBudgetOf: (service: string) => ServiceRetryBudget;
+    /** Fraction of their requests that nodes should send to the local backend server; 1 if it names no rate. */
+    readonly localRateShare: () => number;
     /** Whether the local backend server is draining and gets no new requests from this node. */
     readonly isLocalServerDraining: () => boolean;
 }
@@ -57,6 +59,8 @@
     /** Attempts that reached a backend server. */
     private arrivals = 0;
     private queueRefusals = 0;
+    /** Attempts that were refused for the rate that a server names; they cost it nothing. */
+    private rateRefusals = 0;
     private retryAfterMs = 0;
     /** Whether it is unknown for some attempt if the backend server ran the request. */
     private mayHaveRun = false;
@@ -151,6 +155,8 @@
             origin: { failureDomain, hostAddress },
             candidates: directory.readyServers(this.service),
             tried: this.tried,
+            localRateShare: this.dependencies.localRateShare(),
+            avoidsRateLimited: this.rateRefusals > 0,
             isReachable: server => this.isReachable(server),
         });
     }
@@ -210,7 +216,8 @@
                 return;
             case "not-run":
                 this.arrivals += outcome.reached ? 1 : 0;
-                this.queueRefusals += isQueueRefusal(outcome.reason) ? 1 : 0;
+                this.queueRefusals += outcome.reason === "queue-too-long" ? 1 : 0;
+                this.rateRefusals += outcome.reason === "over-server-rate" ? 1 : 0;
                 this.retryAfterMs = Math.max(this.retryAfterMs, outcome.retryAfterMs);
                 this.lastReason = outcome.reason;
                 this.dependencies.balancer.avoid(server, outcome.reason === "not-connected" ? "loss" : "refusal");
@@ -278,7 +285,7 @@
             return RequestError.create(name, { detail });
         }
         const retryAfterMs = this.retryAfterMs || RETRY_AFTER_WITHOUT_SERVER_MS;
-        if (this.queueRefusals > 0) {
+        if (this.queueRefusals + this.rateRefusals > 0) {
             return RequestError.create("overloaded", { detail, retryAfterMs });
         }
         const name = this.arrivals > 0 ? "retries-exhausted" : "no-backend-server";
@@ -286,11 +293,6 @@
     }
 }
 
-/** Whether a request was refused because others are ahead of it. */
-function isQueueRefusal(reason: NotRunReason): boolean {
-    return reason === "queue-too-long" || reason === "over-server-rate";
-}
-
 function verdictOf(outcome: AttemptOutcome): ServerVerdict {
     switch (outcome.kind) {
         case "answered":
--- a/packages/mesh/src/test/message-frame.test.ts
+++ b/packages/mesh/src/test/message-frame.test.ts
@@ -42,6 +42,7 @@
     const state = {
         load: { open: 1, waiting: 2, limit: 3 },
         onwardPressure: 0.5,
+        rateShare: 1,
         leaving: undefined,
         isStopping: false,
         clockMs: 0,
--- a/packages/mesh/src/test/peer-link.test.ts
+++ b/packages/mesh/src/test/peer-link.test.ts
@@ -11,6 +11,7 @@
 const state: NodeState = {
     load: { open: 1, waiting: 2, limit: 3 },
     onwardPressure: 0.5,
+    rateShare: 1,
     leaving: undefined,
     isStopping: false,
     clockMs: 4_000,
--- a/packages/mesh/src/test/placement.test.ts
+++ b/packages/mesh/src/test/placement.test.ts
@@ -18,6 +18,8 @@
         origin: { failureDomain: "a", hostAddress: "10.0.0.1" },
         candidates,
         tried: new Set(),
+        localRateShare: 1,
+        avoidsRateLimited: false,
         isReachable: () => true,
         ...changes,
     };
@@ -34,7 +36,7 @@
 test("a failure domain without free capacity sends requests to others", () => {
     const balancer = LoadBalancer.create(ManualClock.create(), () => 0);
     balancer.utilization(near);
-    balancer.report(near.hostAddress, { open: 10, waiting: 5, limit: 10 }, 0);
+    balancer.report(near.hostAddress, { load: { open: 10, waiting: 5, limit: 10 }, onwardPressure: 0, rateShare: 1 });
     assert.equal(balancer.choose(createRequest([far, near]))?.instance, "far");
 });
 
@@ -52,7 +54,7 @@
 test("a server whose downstream calls are refused gets no requests while another one's calls are served", () => {
     const balancer = LoadBalancer.create(ManualClock.create());
     balancer.utilization(near);
-    balancer.report(near.hostAddress, { open: 0, waiting: 0, limit: 10 }, 0.5);
+    balancer.report(near.hostAddress, { load: { open: 0, waiting: 0, limit: 10 }, onwardPressure: 0.5, rateShare: 1 });
     const chosen = Array.from({ length: 30 }, () => balancer.choose(createRequest([near, secondNear]))?.instance);
     assert.ok(chosen.every(instance => instance === "near-too"));
 });
@@ -64,7 +66,7 @@
     balancer.doubt(near.hostAddress);
     assert.equal(balancer.choose(createRequest([near, far]))?.instance, "far");
     assert.equal(balancer.choose(createRequest([near]))?.instance, "near", "it may respond");
-    balancer.report(near.hostAddress, { open: 0, waiting: 0, limit: 10 }, 0);
+    balancer.report(near.hostAddress, { load: { open: 0, waiting: 0, limit: 10 }, onwardPressure: 0, rateShare: 1 });
     assert.equal(balancer.choose(createRequest([near, far]))?.instance, "near");
 });
 
@@ -74,7 +76,7 @@
     balancer.choose(createRequest([near, far]));
     balancer.doubt(near.hostAddress);
     balancer.avoid(near, "refusal");
-    balancer.report(near.hostAddress, { open: 0, waiting: 0, limit: 10 }, 0);
+    balancer.report(near.hostAddress, { load: { open: 0, waiting: 0, limit: 10 }, onwardPressure: 0, rateShare: 1 });
     assert.equal(balancer.choose(createRequest([near, far]))?.instance, "far");
 });
 
@@ -82,7 +84,7 @@
     const clock = ManualClock.create();
     const balancer = LoadBalancer.create(clock, () => 0);
     balancer.utilization(near);
-    balancer.report(near.hostAddress, { open: 10, waiting: 0, limit: 10 }, 0);
+    balancer.report(near.hostAddress, { load: { open: 10, waiting: 0, limit: 10 }, onwardPressure: 0, rateShare: 1 });
     assert.ok(balancer.utilization(near) > 0.9);
     clock.advance(2_000);
     assert.ok(balancer.utilization(near) < 0.1);
