Read repeated headers from the raw headers, so that a header named __proto__ or constructor is no error

What callers got: 500 on the own interface for a request with a header named __proto__ or constructor, once or twice (raw requests against a node of the fleet, Node 20.19). Process and other connections were unharmed; the platform's path answered 200 before too. Cause: the object in which Node collects repeated headers inherits from Object, and pushes to what it finds there. Change: the two checks of repeated headers read the raw headers. Tests: hostile-callers of both paths (two of three red on the own interface before).

--- a/packages/daemon/src/request/request-head.ts
+++ b/packages/daemon/src/request/request-head.ts
@@ -19,7 +19,7 @@
 export function checkRequestHead(request: IncomingMessage): void {
     requireNoInternalHeaders(request);
     for (const name of singleHeaders) {
-        if ((request.headersDistinct[name]?.length ?? 0) > 1) {
+        if (readHeaderValues(request, name).length > 1) {
             throw malformed(`${name}: send this header once`);
         }
     }
@@ -45,13 +45,27 @@
  * @throws RequestError when the authorization header is sent more than once.
  */
 export function readKey(request: IncomingMessage): string | undefined {
-    const values = request.headersDistinct["authorization"] ?? [];
+    const values = readHeaderValues(request, "authorization");
     if (values.length > 1) {
         throw malformed("authorization: send this header once");
     }
     return bearerPattern.exec(values[0] ?? "")?.[1];
 }
 
+/**
+ * All values of a header, whose name is in lower case. They are read from the raw headers, because the object that Node
+ * makes of repeated headers throws for names such as `__proto__` and `constructor`.
+ */
+function readHeaderValues({ rawHeaders }: IncomingMessage, name: string): string[] {
+    const values: string[] = [];
+    for (let index = 0; index < rawHeaders.length; index += 2) {
+        if (rawHeaders[index]!.toLowerCase() === name) {
+            values.push(rawHeaders[index + 1]!);
+        }
+    }
+    return values;
+}
+
 function requireNoInternalHeaders(request: IncomingMessage): void {
     const internalName = Object.keys(request.headers)
         .find(name => name.replaceAll("_", "-").startsWith(INTERNAL_HEADER_PREFIX));
--- a/packages/daemon/src/test/parsing.property.test.ts
+++ b/packages/daemon/src/test/parsing.property.test.ts
@@ -38,7 +38,7 @@
     request.httpVersion = "1.1";
     for (const [name, value] of headers) {
         request.headers[name.toLowerCase()] = value;
-        (request.headersDistinct[name.toLowerCase()] ??= []).push(value);
+        request.rawHeaders.push(name, value);
     }
     return request;
 }
--- a/packages/testbed/src/test/hostile-callers.test.ts
+++ b/packages/testbed/src/test/hostile-callers.test.ts
@@ -101,6 +101,24 @@
         });
     }
 
+    for (const name of ["__proto__", "constructor", "toString"]) {
+        test(`are served with a header or trailer named ${name}, sent once or twice`, async () => {
+            const headers = `Host: a\r\nAuthorization: Bearer ${key}\r\nX-Request-Id: property\r\n`;
+            const field = `${name}: 0\r\n`;
+            const texts = [
+                `GET /catalogue/read/property HTTP/1.1\r\n${headers}${field}\r\n`,
+                `GET /catalogue/read/property HTTP/1.1\r\n${headers}${field}${field}\r\n`,
+                `POST /catalogue/book/property HTTP/1.1\r\n${headers}Transfer-Encoding: chunked\r\n\r\n` +
+                `3\r\nabc\r\n0\r\n${field}${field}\r\n`,
+            ];
+            for (const text of texts) {
+                const response = await sendRaw(address, ports.callers, text, got => got.includes("}"));
+                assert.equal(response.status, 200, response.text);
+            }
+            assert.ok(await serves("catalogue-1"), "another caller is served");
+        });
+    }
+
     test("never make a backend server run a refused request", () => {
         assert.ok(!fleet.runRecords().some(run => run.path.includes("hostile")));
     });
