Take an organisation named like a property of all objects for a new one

What operators got: the configuration that adds an organisation named 'constructor' ends in an error while it is recorded, and removing it leaves no entry in the audit trail.

--- a/packages/daemon/src/version/configuration-store.ts
+++ b/packages/daemon/src/version/configuration-store.ts
@@ -50,11 +50,11 @@
         const cause = `version ${next.version} from ${source}`;
         const before = this.version?.configuration.organisations ?? {};
         this.audit.record("configuration-in-force", String(next.version), source);
-        for (const name of Object.keys(before).filter(name => !next.organisations[name])) {
+        for (const name of Object.keys(before).filter(name => !Object.hasOwn(next.organisations, name))) {
             this.audit.record("organisation-removed", name, cause);
         }
         for (const [name, organisation] of Object.entries(next.organisations)) {
-            const previous = before[name];
+            const previous = Object.hasOwn(before, name) ? before[name] : undefined;
             if (!previous) {
                 this.audit.record("organisation-added", name, cause);
                 continue;
--- a/packages/mesh/src/test/local-server-state.test.ts
+++ b/packages/mesh/src/test/local-server-state.test.ts
@@ -36,7 +36,8 @@
 });
 
 test("a server whose leaving was learned after the drain time gets nothing at all", () => {
-    state.apply(undefined, 2_600);
+    const noEntry = undefined;
+    state.apply(noEntry, 2_600);
     clock.advance(0);
     assert.ok(gate.isClosed);
 });
