Do not count what a former instance said of itself for the one that runs since

What callers would see: a server that has just started at an address gets no requests, because a late response of the one before said that it leaves, or named a rate. Test: 'what a response says of an instance does not count for another one ...' failed before.

--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -176,9 +176,13 @@
         return outcome;
     }
 
-    /** Applies what a valid response says of the instance that sent it, unless a later one was read before. */
+    /**
+     * Applies what a valid response says of the instance that sent it, unless a later one was read before, or another
+     * instance runs since.
+     */
     private readCondition(instance: string, { headers, order = 0 }: ExchangeResponse): void {
-        if (instance === "" || order < this.latestOrder) {
+        const isCurrent = (this.dependencies.localInstance.current ?? instance) === instance;
+        if (instance === "" || !isCurrent || order < this.latestOrder) {
             return;
         }
         this.latestOrder = order;
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -178,3 +178,16 @@
     await slow.result;
     assert.equal(gate.ratePerSecond, 5);
 });
+
+test("what a response says of an instance does not count for another one that runs since", async () => {
+    const { client, gate, receivedIds, reportedLeaving } = rig;
+    rig.localInstance.setListed("one");
+    rig.extraHeaders = { "x-leaving": "1", "x-limit": "5" };
+    const attempt = client.send(createRequest("late"), neverDisconnected);
+    await waitUntil(() => receivedIds.includes("late"));
+    rig.localInstance.setListed("two");
+    rig.answerLast();
+    assert.equal((await attempt.result).outcome.kind, "answered");
+    assert.deepEqual(reportedLeaving, []);
+    assert.equal(gate.ratePerSecond, undefined);
+});
