Choose servers whose nodes report no fraction, as those of an earlier version do

What callers would see while a fleet is upgraded: servers on hosts with the earlier version are left out of the choice as long as there are others, because no number compares with what is missing. Test: the last part of 'a server is left out of the choice ...' failed before.

--- a/packages/mesh/src/process/load-balancer.ts
+++ b/packages/mesh/src/process/load-balancer.ts
@@ -127,7 +127,8 @@
         observation.limit = load.limit;
         observation.othersInFlight = Math.max(0, load.open + load.waiting - observation.localInFlight);
         observation.onwardPressure = onwardPressure;
-        observation.rateShare = rateShare;
+        // A node of an earlier version reports none.
+        observation.rateShare = rateShare >= 0 ? rateShare : 1;
         observation.reportedAtMs = this.clock.nowMs();
         if (observation.isDoubtful) {
             observation.isDoubtful = false;
--- a/packages/mesh/src/test/placement.test.ts
+++ b/packages/mesh/src/test/placement.test.ts
@@ -4,6 +4,7 @@
 import type { KnownServer, SelectionRequest } from "../index.js";
 import { LoadBalancer } from "../index.js";
 import { createServer } from "./example-values.js";
+import { createSeededRandom } from "./seeded-random.js";
 
 const near = createServer("near", { hostAddress: "10.0.0.2", failureDomain: "a", slots: 10 });
 const secondNear = createServer("near-too", { hostAddress: "10.0.0.3", failureDomain: "a", slots: 10 });
@@ -118,3 +119,22 @@
     clock.advance(500);
     assert.equal(balancer.choose(createRequest([near, far]))?.instance, "near");
 });
+
+test("a server is left out of the choice for the part of the requests that its rate does not take", () => {
+    const random = createSeededRandom(5);
+    const balancer = LoadBalancer.create(ManualClock.create(), random);
+    const load = { open: 0, waiting: 0, limit: 10 };
+    [near, secondNear].forEach(server => balancer.start(server));
+    const chosenFraction = () => {
+        const choices = Array.from({ length: 2_000 }, () => balancer.choose(createRequest([near, secondNear])));
+        return choices.filter(server => server?.instance === "near").length / choices.length;
+    };
+    balancer.report(near.hostAddress, { load, onwardPressure: 0, rateShare: 0.2 });
+    const limitedFraction = chosenFraction();
+    assert.ok(limitedFraction > 0.05 && limitedFraction < 0.25, String(limitedFraction));
+    assert.equal(balancer.choose(createRequest([near], { localRateShare: 0 }))?.instance, "near", "there is no other");
+    const refused = createRequest([near, secondNear], { avoidsRateLimited: true });
+    assert.ok(Array.from({ length: 50 }, () => balancer.choose(refused)).every(server => server === secondNear));
+    balancer.report(near.hostAddress, { load, onwardPressure: 0, rateShare: undefined as unknown as number });
+    assert.ok(chosenFraction() > 0.4, "a node of an earlier version reports no fraction");
+});
