--- a/packages/mesh/src/test/state-fleet.test.ts
+++ b/packages/mesh/src/test/state-fleet.test.ts
@@ -10,13 +10,14 @@
     FleetView,
     PublishedItemApplier,
     PublishedState,
+    PublishedStateError,
     RequestLog,
     ServerDirectory,
     StateAnswers,
     StateFollower,
     UpdateSourceSelector,
 } from "../index.js";
-import type { PublishedItem, StatePosition, StateReport, StateUpdate } from "../index.js";
+import type { PublishedItem, PublishedStateReader, StatePosition, StateReport, StateUpdate } from "../index.js";
 import { createServer } from "./example-values.js";
 import { createSeededRandom } from "./seeded-random.js";
 
@@ -26,6 +27,9 @@
 const REGISTRATION_MS = 1_500;
 const REGISTRATION_DELAY_MS = 1_000;
 const PLATFORM_DELAY_MS = 4;
+const STORE_TIMEOUT_MS = 700;
+/** Shortest drain time of a deployment. */
+const DRAIN_MS = 2_000;
 const PEER_DELAY_MS = 1;
 
 async function settle(): Promise<void> {
@@ -76,10 +80,12 @@
     readonly lease: ConfigurationLease;
     readonly fleet: FleetView;
     private readonly answers: StateAnswers;
+    private readonly directory: ServerDirectory;
     isStopping = false;
 
     constructor(clock: ManualClock, readonly address: string, failureDomain: string, nodes: NodeSet) {
         const directory = ServerDirectory.create(clock);
+        this.directory = directory;
         const state = PublishedState.create();
         this.lease = ConfigurationLease.create(clock, LEASE_MS, () => clock.nowMs());
         this.fleet = FleetView.create({ address, failureDomain }, () => directory.fleetHosts);
@@ -95,7 +101,7 @@
         });
         const follower = StateFollower.create({
             clock,
-            reader: nodes.store,
+            reader: nodes.readerOf(address),
             applier: PublishedItemApplier.create({
                 decoder: {
                     kindOf: key => ({ kind: "server", instance: key }),
@@ -121,15 +127,19 @@
         void follower.run();
     }
 
+    knows(instance: string): boolean {
+        return this.directory.find(instance) !== undefined;
+    }
+
     answer(position: StatePosition | undefined, waitMs: number, reply: (report: StateReport) => void): void {
         this.answers.answer(position, waitMs, reply);
     }
 }
 
 interface NodeSet {
-    readonly store: CountingStore;
     readonly byAddress: ReadonlyMap<string, FollowingNode>;
     readonly random: () => number;
+    readerOf(address: string): PublishedStateReader;
     ask(address: string, position: StatePosition | undefined, waitMs: number): Promise<StateReport | undefined>;
 }
 
@@ -144,9 +154,28 @@
     readonly store = new CountingStore(this.clock);
     readonly random = createSeededRandom(11);
     readonly byAddress = new Map<string, FollowingNode>();
+    /** Nodes whose questions to the store are lost on the way. */
+    readonly cutOff = new Set<string>();
 
     constructor(private readonly size: number) {}
 
+    readerOf(address: string): PublishedStateReader {
+        return {
+            readAll: () => this.askStore(address, 0, () => this.store.readAll()),
+            watch: (position, waitMs) => this.askStore(address, waitMs, () => this.store.watch(position, waitMs)),
+        };
+    }
+
+    private askStore(address: string, waitMs: number, ask: () => Promise<StateUpdate>): Promise<StateUpdate> {
+        return new Promise((resolve, reject) => {
+            const give = (update: StateUpdate) => this.cutOff.has(address) ? undefined : resolve(update);
+            void ask().then(give);
+            this.clock.setTimer(waitMs + STORE_TIMEOUT_MS, () => {
+                reject(PublishedStateError.create("unreachable", "no answer in time"));
+            });
+        });
+    }
+
     async ask(
         address: string,
         position: StatePosition | undefined,
@@ -218,3 +247,26 @@
     assert.ok(callsPerSecond <= 3 * 1.5, `${callsPerSecond} calls a second`);
     assert.ok(fleet.oldestProofMs() < LEASE_MS / 2, `${fleet.oldestProofMs()} ms`);
 });
+
+for (const size of [13, 60]) {
+    test(`a change reaches a fleet of ${size} within the drain time while its root is cut off from the platform`, async () => {
+        const delaysMs: number[] = [];
+        for (const phaseMs of [0, 200, 400, 600, 790]) {
+            const fleet = new StateFleet(size);
+            await fleet.start();
+            await fleet.advance(phaseMs);
+            const root = [...fleet.byAddress.values()].find(node => node.fleet.relayPlan.ancestors.length === 0)!;
+            fleet.cutOff.add(root.address);
+            await fleet.advance(50);
+            fleet.store.put("10.9.9.9");
+            const others = [...fleet.byAddress.values()].filter(node => node !== root);
+            let delayMs = 0;
+            while (!others.every(node => node.knows("10.9.9.9")) && delayMs < 6_000) {
+                await fleet.advance(20);
+                delayMs += 20;
+            }
+            delaysMs.push(delayMs);
+        }
+        assert.ok(Math.max(...delaysMs) <= DRAIN_MS, `${delaysMs.join(", ")} ms`);
+    });
+}
