Use a server again that starts anew after its host's time of day went back

What callers would see: a server that left and was started again under its name, on a host whose clock was set back in between, gets no requests until it is forgotten. Test: 'a server that starts anew after its host's time of day went back ...' failed before.

--- a/packages/mesh/src/process/server-directory.ts
+++ b/packages/mesh/src/process/server-directory.ts
@@ -72,7 +72,7 @@
 
 /** Servers that leave or have left and are remembered, the last ones. */
 const MAXIMUM_DEPARTURES = 1_024;
-/** Time within which an entry may arrive that a server wrote before it said in a response that it leaves. */
+/** Time within which an entry may arrive that was written before what was learned of its server by another way. */
 const LATE_ENTRY_MS = 5_000;
 
 /** Backend servers by instance and by service. */
@@ -216,11 +216,13 @@
         if (!departure || server.state !== "ready") {
             return false;
         }
+        const mayBeLate = this.clock.nowMs() - departure.learnedAtMs < LATE_ENTRY_MS;
         const startedLaterMs = (server.startedAtMs ?? 0) - (departure.startedAtMs ?? 0);
         if (startedLaterMs !== 0) {
-            return startedLaterMs < 0;
+            // Where the time of day went back, a new start can bear an earlier time.
+            return startedLaterMs < 0 && (isOlderCopy || mayBeLate);
         }
-        if (departure.source === "response" && this.clock.nowMs() - departure.learnedAtMs < LATE_ENTRY_MS) {
+        if (departure.source === "response" && mayBeLate) {
             departure.sequence = Math.max(departure.sequence, server.sequence);
             return true;
         }
--- a/packages/mesh/src/test/fleet-knowledge.test.ts
+++ b/packages/mesh/src/test/fleet-knowledge.test.ts
@@ -187,3 +187,13 @@
     assert.ok(directory.isOutdated(entry({ sequence: 9 }), false), "the same write from a peer that is behind");
     assert.ok(!directory.isOutdated(entry({ sequence: 10 }), false), "a later write");
 });
+
+test("a server that starts anew after its host's time of day went back is used again", () => {
+    const clock = ManualClock.create();
+    const directory = ServerDirectory.create(clock);
+    directory.upsert(createServer("one", { startedAtMs: 9_000, sequence: 8, state: "draining" }), "test");
+    const entry = createServer("one", { startedAtMs: 6_000, sequence: 1 });
+    clock.advance(5_000);
+    assert.ok(!directory.isOutdated(entry, false));
+    assert.ok(directory.isOutdated(entry, true), "an older copy of the store shows an earlier start");
+});
