--- a/packages/mesh/src/process/local-server-state.ts
+++ b/packages/mesh/src/process/local-server-state.ts
@@ -18,8 +18,8 @@
     readonly drainMs: number;
 }
 
-/** Fraction of the drain time for which requests that are on their way are let in, from when this node learned it. */
-const USE_FRACTION = 0.6;
+/** Fraction of the drain time for which a server that leaves gets requests; the rest is for what is on its way. */
+export const LEAVING_USE_FRACTION = 0.6;
 /** The same from when the server can have begun to leave at the earliest; the rest is for the way to the server. */
 const LATEST_USE_FRACTION = 0.9;
 
@@ -125,7 +125,7 @@
         }
         this.draining = true;
         const { clock, gate, drainMs } = this.options;
-        const useMs = Math.min(drainMs * USE_FRACTION, drainMs * LATEST_USE_FRACTION - maximumAgeMs);
+        const useMs = Math.min(drainMs * LEAVING_USE_FRACTION, drainMs * LATEST_USE_FRACTION - maximumAgeMs);
         this.closingTimer = clock.setTimer(Math.max(0, useMs), () => gate.setDraining(true));
     }
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -27,7 +27,7 @@
 import { LifeCycle } from "./life-cycle.js";
 import { LoadBalancer } from "./load-balancer.js";
 import { LocalInstance } from "./local-instance.js";
-import { LocalServerState } from "./local-server-state.js";
+import { LEAVING_USE_FRACTION, LocalServerState } from "./local-server-state.js";
 import { MeshMetrics } from "./mesh-metrics.js";
 import { OrganisationQuota } from "./organisation-quota.js";
 import { OrganisationUsageCounters } from "./organisation-usage-counters.js";
@@ -74,8 +74,6 @@
     readonly log: { readonly decisionLinesPerSecond: number; readonly successSampleInterval: number; };
 }
 
-/** Fraction of the drain time for which a server that leaves gets requests; the rest is for what is on its way. */
-const LEAVING_USE_FRACTION = 0.6;
 /** Time for which callers and peers still send requests to a node that has announced its stop. */
 const STOP_NOTICE_MS = 2_800;
 /** Time before the process is killed at which the requests still in flight are given up. */
@@ -117,8 +115,7 @@
     private constructor(private readonly settings: MeshNodeSettings, private readonly clock: Clock) {
         this.log = RequestLog.create(clock, { host: settings.host, ...settings.log });
         this.lease = ConfigurationLease.create(clock, settings.keyLeaseMs);
-        const leavingUseMs = settings.drainMs * LEAVING_USE_FRACTION;
-        this.directory = ServerDirectory.create(clock, leavingUseMs);
+        this.directory = ServerDirectory.create(clock, settings.drainMs * LEAVING_USE_FRACTION);
         this.fleet = FleetView.create(
             { address: settings.hostAddress, failureDomain: settings.failureDomain },
             () => this.directory.fleetHosts,
