--- a/packages/cli/src/report/fleet-report.ts
+++ b/packages/cli/src/report/fleet-report.ts
@@ -1,7 +1,7 @@
 /**
  * Outcomes of requests and fair share of each organisation, summed over all nodes that responded.
  */
-import { configurationSchema, nodeReportSchema } from "@radishrouter/core";
+import { configurationSchema, findOrganisation, nodeReportSchema } from "@radishrouter/core";
 import type { Configuration, NodeReport, OrganisationOutcomes } from "@radishrouter/core";
 import { z } from "zod";
 import { findUnreachable, queryNodes } from "../node/node-client.js";
@@ -163,8 +163,7 @@
 }
 
 function rateOf(configuration: Configuration | undefined, organisation: string): number | undefined {
-    const organisations = configuration?.organisations ?? {};
-    return Object.hasOwn(organisations, organisation) ? organisations[organisation]?.rate : undefined;
+    return configuration && findOrganisation(configuration, organisation)?.rate;
 }
 
 function findWorstServed(organisations: readonly OrganisationReport[]): string | undefined {
--- a/packages/core/src/version/configuration.ts
+++ b/packages/core/src/version/configuration.ts
@@ -115,3 +115,11 @@
 
 /** Key of the platform under which operators publish the configuration. */
 export const CONFIGURATION_KEY = "radishrouter/configuration";
+
+/** Finds an organisation by its name, which may be that of a property that all objects have. */
+export function findOrganisation(
+    { organisations }: Pick<Configuration, "organisations">,
+    name: string,
+): Organisation | undefined {
+    return Object.hasOwn(organisations, name) ? organisations[name] : undefined;
+}
--- a/packages/core/src/version/request-explanation.ts
+++ b/packages/core/src/version/request-explanation.ts
@@ -3,7 +3,8 @@
  */
 import type { ResultName } from "../result-code.js";
 import type { ConfigurationVersion } from "./configuration-version.js";
-import type { Importance, Organisation, Route } from "./configuration.js";
+import { findOrganisation } from "./configuration.js";
+import type { Importance, Route } from "./configuration.js";
 
 /** A request that an operator asks about. */
 export interface ExplainedRequest {
@@ -118,18 +119,13 @@
 }
 
 function identifyByName(version: ConfigurationVersion, name: string): Caller {
-    const keys = organisationOf(version, name)?.keys.length ?? 0;
+    const keys = findOrganisation(version.configuration, name)?.keys.length ?? 0;
     const step = keys > 0 ?
         passes("key", `${name} has ${keys} published keys`) :
         refused("key", `${name} is not published or has no key`, "key-invalid");
     return { step, organisation: name };
 }
 
-function organisationOf(version: ConfigurationVersion, name: string): Organisation | undefined {
-    const { organisations } = version.configuration;
-    return Object.hasOwn(organisations, name) ? organisations[name] : undefined;
-}
-
 function checkAllowed(route: Route, caller: Caller): ExplanationStep[] {
     if (caller.organisation === undefined || route.open) {
         return [];
@@ -143,7 +139,9 @@
 }
 
 function describeRate(version: ConfigurationVersion, caller: Caller): ExplanationStep[] {
-    const limits = caller.organisation === undefined ? undefined : organisationOf(version, caller.organisation);
+    const limits = caller.organisation === undefined ?
+        undefined :
+        findOrganisation(version.configuration, caller.organisation);
     if (!limits) {
         return [];
     }
--- a/packages/daemon/src/version/configuration-store.ts
+++ b/packages/daemon/src/version/configuration-store.ts
@@ -2,7 +2,7 @@
  * The active configuration version of this node.
  */
 import type { AuditTrail, Configuration } from "@radishrouter/core";
-import { configurationFormat, ConfigurationVersion, DocumentReplica } from "@radishrouter/core";
+import { configurationFormat, ConfigurationVersion, DocumentReplica, findOrganisation } from "@radishrouter/core";
 import Emittery from "emittery";
 
 /** Keeps the active version with its indexes, and records the changes of each version in the audit trail. */
@@ -48,13 +48,13 @@
 
     private recordChanges(next: Configuration, source: string): void {
         const cause = `version ${next.version} from ${source}`;
-        const before = this.version?.configuration.organisations ?? {};
+        const before = this.version?.configuration ?? { organisations: {} };
         this.audit.record("configuration-in-force", String(next.version), source);
-        for (const name of Object.keys(before).filter(name => !Object.hasOwn(next.organisations, name))) {
+        for (const name of Object.keys(before.organisations).filter(name => !findOrganisation(next, name))) {
             this.audit.record("organisation-removed", name, cause);
         }
         for (const [name, organisation] of Object.entries(next.organisations)) {
-            const previous = Object.hasOwn(before, name) ? before[name] : undefined;
+            const previous = findOrganisation(before, name);
             if (!previous) {
                 this.audit.record("organisation-added", name, cause);
                 continue;
