--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -2,8 +2,8 @@
  * Messages between two nodes, sent in both directions on one connection and encoded with MessagePack. The property
  * names are part of the wire format.
  */
+import type { ServerReport } from "../process/load-balancer.js";
 import type { ServerStart } from "../process/server-directory.js";
-import type { ServerLoad } from "../process/server-gate.js";
 import type { FailedOutcome } from "../request/outcome.js";
 import type { RequestContent } from "../request/relayed-request.js";
 import type { StatePosition, StateUpdate } from "../version/published-state.js";
@@ -31,12 +31,7 @@
     | FailedOutcome;
 
 /** State of a node, sent with each outcome, in reply to pings and when a planned shutdown begins. */
-export interface NodeState {
-    readonly load: ServerLoad;
-    /** Downstream pressure: fraction of its server's recent downstream calls that were refused for lack of capacity. */
-    readonly onwardPressure: number;
-    /** Fraction of their requests that nodes should send to the server on the node's host; 1 if it names no rate. */
-    readonly rateShare: number;
+export interface NodeState extends ServerReport {
     /** Start of the server on the node's host that leaves; undefined if it does not leave. */
     readonly leaving: ServerStart | undefined;
     /** Whether the node has begun a planned shutdown. */
--- a/packages/mesh/src/process/load-balancer.ts
+++ b/packages/mesh/src/process/load-balancer.ts
@@ -35,7 +35,7 @@
 /** What the node on a server's host reports of the server. */
 export interface ServerReport {
     readonly load: ServerLoad;
-    /** Fraction of the server's recent downstream calls that were refused for lack of capacity. */
+    /** Downstream pressure: fraction of the server's recent downstream calls that were refused for lack of capacity. */
     readonly onwardPressure: number;
     /** Fraction of their requests that nodes should send to the server; 1 if it names no rate. */
     readonly rateShare: number;
