--- a/packages/mesh/src/process/load-balancer.ts
+++ b/packages/mesh/src/process/load-balancer.ts
@@ -206,6 +206,9 @@
 
     private lastRateShare(server: KnownServer): number {
         const { rateShare, reportedAtMs } = this.observationOf(server);
+        if (rateShare >= 1) {
+            return 1;
+        }
         return 1 - (1 - rateShare) * decayFactor(this.clock.nowMs() - reportedAtMs, RATE_SHARE_HALF_LIFE_MS);
     }
 
