Give the waiting requests of a gate a queue of their own, and count those ahead only under a rate

The gate held the queue by ranks beside its decisions, and since it counted the waiting requests ahead for each request, also with no rate to hold. What is admitted, in which order and when is as it was; 215 tests of mesh pass unchanged.

--- a/packages/mesh/src/process/server-gate.ts
+++ b/packages/mesh/src/process/server-gate.ts
@@ -6,6 +6,7 @@
  * requests in a second within the rate that the server names.
  */
 import type { Clock, Timer } from "@radishrouter/core";
+import { RankedQueue } from "./ranked-queue.js";
 import { RateShare } from "./rate-share.js";
 import { ServerRateLimit } from "./server-rate-limit.js";
 
@@ -90,9 +91,7 @@
     private slotLimit = DEFAULT_LIMIT;
     private isDraining = false;
     private isProbing = false;
-    private readonly queues = new Map<number, Waiter[]>();
-    private ranks: number[] = [];
-    private waiting = 0;
+    private readonly queue = RankedQueue.create<Waiter>();
     /** Moving average of the service times of each route. */
     private readonly serviceTimesMs = new Map<string, number>();
     private meanServiceTimeMs = INITIAL_SERVICE_TIME_MS;
@@ -144,7 +143,7 @@
 
     /** Refuses all waiting requests. */
     refuseWaiting(reason: GateRefusal): void {
-        for (let waiter = this.dequeue(); waiter; waiter = this.dequeue()) {
+        for (let waiter = this.queue.shift(); waiter; waiter = this.queue.shift()) {
             this.refuse(waiter, reason, 0);
         }
     }
@@ -164,7 +163,7 @@
 
     /** Load that is reported to other nodes. */
     load(): ServerLoad {
-        return { open: this.open, waiting: this.waiting, limit: this.slotLimit };
+        return { open: this.open, waiting: this.queue.size, limit: this.slotLimit };
     }
 
     private get limit(): number {
@@ -192,13 +191,13 @@
             waiter.state = "ended";
             return { decision: Promise.resolve(refusal), end };
         }
-        if (this.open < this.limit && this.waiting === 0 && this.rateLimit.tryTake()) {
+        if (this.open < this.limit && this.queue.size === 0 && this.rateLimit.tryTake()) {
             this.admit(waiter);
             return { decision: Promise.resolve({ kind: "admitted" }), end };
         }
         const decision = new Promise<GateDecision>(decide => {
             waiter.decide = decide;
-            this.enqueue(waiter);
+            this.queue.push(waiter);
             this.scheduleRefusal(waiter);
             this.scheduleAdmission();
         });
@@ -211,7 +210,7 @@
         waiter.timer?.cancel();
         switch (state) {
             case "waiting":
-                this.remove(waiter);
+                this.queue.remove(waiter);
                 waiter.decide({ kind: "refused", reason: "caller-gone", retryAfterMs: 0 });
                 return;
             case "admitted":
@@ -238,7 +237,7 @@
         waiter.timer = this.clock.setTimer(
             softDeadlineAtMs - this.expectedServiceTimeMs(route) - this.clock.nowMs(),
             () => {
-                if (this.remove(waiter)) {
+                if (this.queue.remove(waiter)) {
                     this.refuse(waiter, "no-time-left", this.shortRetryAfterMs());
                 }
             },
@@ -266,7 +265,7 @@
             return { kind: "refused", reason: "leaving", retryAfterMs: 0 };
         }
         const rank = rankOf(request);
-        const rateWaitMs = this.rateLimit.timeUntilAvailableMs(this.countAhead(rank) + 1);
+        const rateWaitMs = this.expectedRateWaitMs(rank);
         if (rateWaitMs > MAXIMUM_RATE_WAIT_MS) {
             const retryAfterMs = rateWaitMs * (1 + this.random() * RETRY_AFTER_JITTER);
             return { kind: "refused", reason: "over-server-rate", retryAfterMs };
@@ -283,66 +282,30 @@
 
     /** Expected time until a slot is free for a request of a rank, from the requests that wait ahead of it. */
     private expectedWaitMs(rank: number): number {
-        if (this.open < this.limit && this.waiting === 0) {
+        if (this.open < this.limit && this.queue.size === 0) {
             return 0;
         }
         let queuedWorkMs = this.meanServiceTimeMs;
-        for (const other of this.ranks) {
-            if (other > rank) {
-                break;
-            }
-            for (const waiter of this.queues.get(other) ?? []) {
+        for (const queue of this.queue.queuesAhead(rank)) {
+            for (const waiter of queue) {
                 queuedWorkMs += this.expectedServiceTimeMs(waiter.request.route);
             }
         }
         return queuedWorkMs / this.limit;
     }
 
-    /** Number of waiting requests that are admitted before a new one of a rank. */
-    private countAhead(rank: number): number {
-        if (this.waiting === 0) {
+    /** Expected time until the rate that the server names allows a request of a rank; 0 if it names none. */
+    private expectedRateWaitMs(rank: number): number {
+        if (this.rateLimit.ratePerSecond === undefined) {
             return 0;
         }
-        return this.ranks.filter(other => other <= rank)
-            .reduce((count, other) => count + (this.queues.get(other)?.length ?? 0), 0);
-    }
-
-    private enqueue(waiter: Waiter): void {
-        let queue = this.queues.get(waiter.rank);
-        if (!queue) {
-            queue = [];
-            this.queues.set(waiter.rank, queue);
-            this.ranks = [...this.queues.keys()].sort((left, right) => left - right);
-        }
-        queue.push(waiter);
-        this.waiting++;
-    }
-
-    private remove(waiter: Waiter): boolean {
-        const queue = this.queues.get(waiter.rank);
-        const index = queue?.indexOf(waiter) ?? -1;
-        if (!queue || index < 0) {
-            return false;
-        }
-        queue.splice(index, 1);
-        this.waiting--;
-        return true;
-    }
-
-    private dequeue(): Waiter | undefined {
-        for (const rank of this.ranks) {
-            const waiter = this.queues.get(rank)?.shift();
-            if (waiter) {
-                this.waiting--;
-                return waiter;
-            }
-        }
-        return undefined;
+        const ahead = this.queue.queuesAhead(rank).reduce((count, queue) => count + queue.length, 0);
+        return this.rateLimit.timeUntilAvailableMs(ahead + 1);
     }
 
     private admitWaiting(): void {
-        while (this.open < this.limit && this.waiting > 0 && this.rateLimit.timeUntilAvailableMs(1) === 0) {
-            const waiter = this.dequeue();
+        while (this.open < this.limit && this.queue.size > 0 && this.rateLimit.timeUntilAvailableMs(1) === 0) {
+            const waiter = this.queue.shift();
             if (!waiter) {
                 return;
             }
@@ -361,7 +324,7 @@
     /** Sets a timer for when the server's rate allows the next waiting request. */
     private scheduleAdmission(): void {
         const waitMs = this.rateLimit.timeUntilAvailableMs(1);
-        if (this.rateTimer || this.waiting === 0 || waitMs === 0) {
+        if (this.rateTimer || this.queue.size === 0 || waitMs === 0) {
             return;
         }
         this.rateTimer = this.clock.setTimer(Math.ceil(waitMs), () => {
