Hold all requests that were in flight at an end of a server

Cause: of an end only the first 64 fingerprints were held, in the order of loss, so that the one that ran alone could be missing; of requests that completed, too, so that later ones stayed suspects; and a repeated notice left out an end that did not fit whole. Change: 512 requests of an end (as many as a node has connections to its server), 16,384 of all ends together as before; what ran alone or was in flight at several ends is kept first, in the record and in messages.

--- a/packages/core/src/process/quarantine.ts
+++ b/packages/core/src/process/quarantine.ts
@@ -39,8 +39,10 @@
     readonly expiryMs: number;
     /** Number of ends that are stored; those whose suspects arrived longest ago are dropped first. */
     readonly maximumEnds: number;
-    /** Number of requests that are stored for one end. */
+    /** Number of suspects, and of cleared requests, that are stored for one end; the least suspicious are dropped. */
     readonly maximumSuspects: number;
+    /** Number of requests that are stored for all ends together; dropped as surplus ends are. */
+    readonly maximumFingerprints: number;
 }
 
 interface EndRecord {
@@ -100,9 +102,9 @@
         const known = this.ends.get(end.id);
         const record = known ?? this.createRecord(end);
         const cleared = end.cleared.filter(fingerprint => this.clearAt(record, fingerprint));
-        const added = end.suspects.filter(fingerprint => this.addSuspect(record, fingerprint));
         const isTriedNew = record.tried === undefined && end.tried !== undefined;
         record.tried ??= end.tried;
+        const added = this.addSuspects(record, end.suspects);
         const lastArrivalMs = this.clock.nowMs() - end.idleMs;
         const isArrivalNew = lastArrivalMs - record.lastArrivalMs > ARRIVAL_NOTICE_MS;
         record.lastArrivalMs = Math.max(record.lastArrivalMs, lastArrivalMs);
@@ -204,27 +206,48 @@
         return record;
     }
 
-    private addSuspect(end: EndRecord, fingerprint: string): boolean {
-        const isKnown = end.suspects.has(fingerprint) || end.cleared.has(fingerprint);
-        if (isKnown || end.suspects.size >= this.options.maximumSuspects) {
-            return false;
+    /** Returns those that were not known and are stored now. */
+    private addSuspects(end: EndRecord, fingerprints: readonly string[]): string[] {
+        const added = fingerprints.filter(fingerprint =>
+            !end.suspects.has(fingerprint) && !end.cleared.has(fingerprint)
+        );
+        for (const fingerprint of added) {
+            end.suspects.add(fingerprint);
+            const ends = this.endsBySuspect.get(fingerprint) ?? new Set();
+            this.endsBySuspect.set(fingerprint, ends.add(end));
         }
-        end.suspects.add(fingerprint);
-        const ends = this.endsBySuspect.get(fingerprint) ?? new Set();
-        this.endsBySuspect.set(fingerprint, ends.add(end));
-        return true;
+        this.dropLeastSuspicious(end);
+        return added.filter(fingerprint => end.suspects.has(fingerprint));
+    }
+
+    /** Keeps the one that ran alone, and of the others those that were in flight at most ends. */
+    private dropLeastSuspicious(end: EndRecord): void {
+        const { maximumSuspects } = this.options;
+        if (end.suspects.size <= maximumSuspects) {
+            return;
+        }
+        const weightOf = (fingerprint: string) => fingerprint === end.tried ? Infinity : this.endCountOf(fingerprint);
+        const ranked = [...end.suspects].sort((left, right) => weightOf(right) - weightOf(left) || 0);
+        ranked.slice(maximumSuspects).forEach(fingerprint => this.removeSuspect(end, fingerprint));
     }
 
     /** Returns whether that changes what is known. */
     private clearAt(end: EndRecord, fingerprint: string): boolean {
-        if (end.cleared.has(fingerprint) || end.cleared.size >= this.options.maximumSuspects) {
+        if (end.cleared.has(fingerprint)) {
             return false;
         }
         end.cleared.add(fingerprint);
+        if (end.cleared.size > this.options.maximumSuspects) {
+            end.cleared.delete(end.cleared.values().next().value!);
+        }
+        this.removeSuspect(end, fingerprint);
+        return true;
+    }
+
+    private removeSuspect(end: EndRecord, fingerprint: string): void {
         if (end.suspects.delete(fingerprint)) {
             this.forgetSuspect(end, fingerprint);
         }
-        return true;
     }
 
     private forgetSuspect(end: EndRecord, fingerprint: string): void {
@@ -257,12 +280,19 @@
     }
 
     private dropSurplus(): void {
-        while (this.ends.size > this.options.maximumEnds) {
+        while (this.hasSurplus()) {
             const ends = [...this.ends.values()];
             this.drop(ends.reduce((oldest, end) => end.lastArrivalMs < oldest.lastArrivalMs ? end : oldest));
         }
     }
 
+    private hasSurplus(): boolean {
+        const { maximumEnds, maximumFingerprints } = this.options;
+        const fingerprints = [...this.ends.values()]
+            .reduce((sum, { suspects, cleared }) => sum + suspects.size + cleared.size, 0);
+        return this.ends.size > maximumEnds || fingerprints > maximumFingerprints && this.ends.size > 1;
+    }
+
     private drop(end: EndRecord): void {
         this.ends.delete(end.id);
         end.suspects.forEach(fingerprint => this.forgetSuspect(end, fingerprint));
--- a/packages/core/src/test/quarantine.test.ts
+++ b/packages/core/src/test/quarantine.test.ts
@@ -7,6 +7,7 @@
 const EXPIRY_MS = 600_000;
 const MAXIMUM_ENDS = 16;
 const MAXIMUM_SUSPECTS = 4;
+const MAXIMUM_FINGERPRINTS = 40;
 /** Longer than the time in which two ends may have one cause. */
 const LATER_MS = 120_000;
 const names = ["a", "b", "c", "d"];
@@ -16,6 +17,7 @@
         expiryMs: EXPIRY_MS,
         maximumEnds: MAXIMUM_ENDS,
         maximumSuspects: MAXIMUM_SUSPECTS,
+        maximumFingerprints: MAXIMUM_FINGERPRINTS,
     });
 }
 
@@ -45,6 +47,48 @@
     assert.equal(quarantine.suspicionOf("a"), "none");
 });
 
+test("a request that ran alone when more requests were in flight than are stored is still held as the one that did", () => {
+    const quarantine = createQuarantine();
+    recordEnd(quarantine, "1", ["f", "g", "h", "i", "j", "a"], "a");
+    recordEnd(quarantine, "2", ["k", "l", "m", "n", "o", "a"], "a");
+    assert.equal(quarantine.suspicionOf("a"), "quarantined");
+});
+
+test("of more requests than are stored for an end, those that were in flight at earlier ends are held", () => {
+    const quarantine = createQuarantine();
+    recordEnd(quarantine, "1", ["a"]);
+    recordEnd(quarantine, "2", ["b", "c", "d", "e", "f", "a"]);
+    assert.equal(quarantine.endCountOf("a"), 2);
+});
+
+test("where all ends together have more requests than are stored, the ends that were met longest ago are dropped", () => {
+    const quarantine = createQuarantine();
+    for (let end = 0; end < 12; end++) {
+        recordEnd(quarantine, String(end), [`a-${end}`, `b-${end}`, `c-${end}`, `d-${end}`]);
+    }
+    assert.deepEqual(quarantine.list().map(({ id }) => id).sort(), [
+        "10",
+        "11",
+        "2",
+        "3",
+        "4",
+        "5",
+        "6",
+        "7",
+        "8",
+        "9",
+    ]);
+});
+
+test("each request that completes after an end is cleared, however many have before it", () => {
+    const quarantine = createQuarantine();
+    for (const name of ["a", "b", "c", "d", "e", "f"]) {
+        recordEnd(quarantine, "1", [name]);
+        quarantine.clear(name);
+        assert.equal(quarantine.suspicionOf(name), "none");
+    }
+});
+
 test("where servers end without the request too, it is quarantined after three ends", () => {
     const quarantine = createQuarantine();
     recordEnd(quarantine, "other", ["d"]);
--- a/packages/daemon/src/process/node-dependencies.ts
+++ b/packages/daemon/src/process/node-dependencies.ts
@@ -38,7 +38,12 @@
 
 const SLOTS_WITHOUT_CONFIGURATION = 1;
 const CONNECTIONS_WITHOUT_CONFIGURATION = 1;
-const QUARANTINE_OPTIONS = { expiryMs: 600_000, maximumEnds: 256, maximumSuspects: 64 };
+const QUARANTINE_OPTIONS = {
+    expiryMs: 600_000,
+    maximumEnds: 256,
+    maximumSuspects: 512,
+    maximumFingerprints: 16_384,
+};
 
 /** @internal The components of a node, which live as long as its process. */
 export interface NodeDependencies {
--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -6,6 +6,7 @@
 import type { DownstreamPressure } from "../process/downstream-pressure.js";
 import type { LocalInstance } from "../process/local-instance.js";
 import type { ServerCondition, ServerConditionDecoder } from "../process/server-condition.js";
+import { MAXIMUM_SERVER_CONNECTIONS } from "../process/server-connections.js";
 import type { ServerStart } from "../process/server-directory.js";
 import type { GateOutcome, ServerGate } from "../process/server-gate.js";
 import type { SuspectTurn } from "../process/suspect-turns.js";
@@ -46,7 +47,6 @@
     readonly isLeaving: (instance: string) => boolean;
 }
 
-const MAXIMUM_CONNECTIONS = 512;
 const CONNECT_TIMEOUT_MS = 300;
 const IDLE_TIMEOUT_MS = 4_000;
 const MISDIRECTED_STATUS = 421;
@@ -65,7 +65,7 @@
         this.pool = ExchangePool.create({
             hostAddress: dependencies.hostAddress,
             port: dependencies.port,
-            maximumConnections: MAXIMUM_CONNECTIONS,
+            maximumConnections: MAXIMUM_SERVER_CONNECTIONS,
             connectTimeoutMs: CONNECT_TIMEOUT_MS,
             idleTimeoutMs: IDLE_TIMEOUT_MS,
             idHeader: dependencies.headerNames.attemptId,
--- a/packages/mesh/src/process/quarantine-exchange.ts
+++ b/packages/mesh/src/process/quarantine-exchange.ts
@@ -6,7 +6,9 @@
  */
 import { highestScoringNames, Quarantine } from "@radishrouter/core";
 import type { Clock, ServerEnd } from "@radishrouter/core";
+import { selectForNotice } from "./quarantine-notice-content.js";
 import type { RequestLog } from "./request-log.js";
+import { MAXIMUM_SERVER_CONNECTIONS } from "./server-connections.js";
 
 /** What a node tells others of one service. */
 export interface QuarantineNotice {
@@ -30,13 +32,17 @@
     readonly send: (address: string, notice: QuarantineNotice) => void;
 }
 
-const QUARANTINE_OPTIONS = { expiryMs: 600_000, maximumEnds: 256, maximumSuspects: 64 };
+/** As many suspects of one end as requests can be in flight at a server. */
+const QUARANTINE_OPTIONS = {
+    expiryMs: 600_000,
+    maximumEnds: 256,
+    maximumSuspects: MAXIMUM_SERVER_CONNECTIONS,
+    maximumFingerprints: 16_384,
+};
 /** Services of other hosts whose ends this node stores for them. */
 const MAXIMUM_OTHER_SERVICES = 16;
 /** Other nodes that know of a service's ends, at least; a service with fewer hosts uses hosts of other services. */
 const MINIMUM_WITNESSES = 3;
-/** Fingerprints in one message that tells all that is known, about 12 KB. */
-const MAXIMUM_FINGERPRINTS_IN_NOTICE = 512;
 /** Time for which a node that has started waits for what other nodes know. */
 const ANSWER_WAIT_MS = 200;
 /** The same from its start, in which it learns which other nodes there are. */
@@ -215,14 +221,5 @@
 }
 
 function createNotice(service: string, quarantine: Quarantine | undefined, wantsReply: boolean): QuarantineNotice {
-    return { service, ends: limitEnds(quarantine?.list() ?? []), wantsReply };
-}
-
-/** The first of the ends, as many as fit into one message. */
-function limitEnds(ends: readonly ServerEnd[]): readonly ServerEnd[] {
-    let fingerprints = 0;
-    return ends.filter(({ suspects, cleared }) => {
-        fingerprints += 1 + suspects.length + cleared.length;
-        return fingerprints <= MAXIMUM_FINGERPRINTS_IN_NOTICE;
-    });
+    return { service, ends: selectForNotice(quarantine?.list() ?? []), wantsReply };
 }
