Take copies of a request without a key for the same, whichever service's host sends them

Cause: the fingerprint of a request without an organisation named the service of the host that it came from, as for downstream calls, from which such requests cannot be told apart. Change: the sending service does not count; the host counts in lower case, as routes do. Tests: 'downstream calls of different services have different fingerprints' is replaced by its opposite, as that was the fault; two new tests of the fingerprint and one with real nodes failed before (4 servers ended).

--- a/packages/mesh/src/request/request-fingerprint.ts
+++ b/packages/mesh/src/request/request-fingerprint.ts
@@ -9,16 +9,15 @@
 const FINGERPRINT_LENGTH = 22;
 
 /**
- * Fingerprint of a request: its organisation, or for a downstream call the service that makes it, its method, host,
- * target and whole body. Other headers differ between attempts, and callers may send from any host, so these do not
- * count.
+ * Fingerprint of a request: its organisation, method, host, target and whole body. Other headers differ between attempts,
+ * and callers may send from any host, so these do not count; nor does the service that sends it, as downstream calls and
+ * requests of callers without a key cannot be told apart.
  */
-export function fingerprintOf(content: RequestContent, headerNames: HeaderNames): string {
-    const { method, target, headers, body, isOnwardCall } = content;
+export function fingerprintOf({ method, target, headers, body }: RequestContent, headerNames: HeaderNames): string {
     const organisation = findHeader(headers, headerNames.organisation);
-    const callingService = isOnwardCall ? findHeader(headers, headerNames.callerService) : undefined;
+    const host = findHeader(headers, "host")?.toLowerCase();
     const hash = createHash("sha256");
-    hash.update(JSON.stringify([organisation, callingService, method, findHeader(headers, "host"), target]));
+    hash.update(JSON.stringify([organisation, method, host, target]));
     if (body) {
         hash.update(body);
     }
