Let a suspect of two ends run alone, also if it became one while it waited for a slot

Callers saw: with servers that are full, a request that ends servers ended up to four, one run of it late. Cause: whether a suspect has to run alone was decided when it arrived. One that waited beside others for a slot ran on beside them when the second end became known, so that the third end named nobody. Change: it is asked again before the request is sent; one that has to run alone now waits for its turn again, at the same server. Ruled out: the number of fingerprints (17 were in flight at each of these ends; 'tried' is missing in the log of the third). Where the server is full of suspects the second end still meets it beside others. The new test failed before (nothing named).

--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -121,14 +121,28 @@
     }
 
     private async execute(request: ServerRequest, attempt: ServerAttempt): Promise<AttemptOutcome> {
-        const { crashing, clock, gate } = this.dependencies;
-        const informed = crashing.exchange.whenInformed();
+        const informed = this.dependencies.crashing.exchange.whenInformed();
         if (informed) {
             await informed;
         }
+        const outcome = await this.executeOnce(request, attempt, request.isTrial === true);
+        const needsTurnAlone = outcome === CRASH_REFUSALS.suspected && attempt.turn !== undefined;
+        if (!needsTurnAlone) {
+            return outcome;
+        }
+        attempt.exchange = undefined;
+        return await this.executeOnce(request, attempt, true);
+    }
+
+    private async executeOnce(
+        request: ServerRequest,
+        attempt: ServerAttempt,
+        isTrial: boolean,
+    ): Promise<AttemptOutcome> {
+        const { crashing, clock, gate } = this.dependencies;
         const slackMs = request.softDeadlineAtMs - clock.nowMs() -
             gate.expectedServiceTimeMs(request.content.routeName);
-        const admission = crashing.admit(request.content, request.isTrial === true, slackMs);
+        const admission = crashing.admit(request.content, isTrial, slackMs);
         switch (admission.kind) {
             case "refused":
                 return CRASH_REFUSALS[admission.reason];
@@ -281,7 +295,7 @@
         if (this.dependencies.gate.isClosed) {
             return LEAVING;
         }
-        const reason = this.dependencies.crashing.refusalOf(request.content, attempt.turn !== undefined);
+        const reason = this.dependencies.crashing.refusalOf(request.content, attempt.turn);
         return reason && CRASH_REFUSALS[reason];
     }
 
--- a/packages/mesh/src/process/crashing-requests.ts
+++ b/packages/mesh/src/process/crashing-requests.ts
@@ -114,12 +114,15 @@
         }
         const waitMs = Math.min(Math.max(0, slackMs) * TURN_WAIT_FRACTION, MAXIMUM_TURN_WAIT_MS);
         const startByMs = this.options.clock.nowMs() + waitMs;
-        const mustBeAlone = this.quarantine.endCountOf(fingerprint) > 1;
-        return { kind: "suspect", turn: this.turns.enter({ fingerprint, mustBeAlone, startByMs }) };
+        const turn = this.turns.enter({ fingerprint, mustBeAlone: this.mustBeAlone(fingerprint), startByMs });
+        return { kind: "suspect", turn };
     }
 
-    /** Why a request must not be sent to the server now, though it was admitted; undefined if it may. */
-    refusalOf(content: RequestContent, hasTurn: boolean): "quarantined" | "suspected" | undefined {
+    /**
+     * Why a request must not be sent to the server now, though it was admitted; undefined if it may. `turn` is its turn as
+     * a suspect: one that was granted beside others does not hold once the request is known from a second end.
+     */
+    refusalOf(content: RequestContent, turn: SuspectTurn | undefined): "quarantined" | "suspected" | undefined {
         if (this.quarantine.isEmpty) {
             return undefined;
         }
@@ -127,8 +130,10 @@
         switch (this.suspicionOf(fingerprint)) {
             case "none":
                 return undefined;
-            case "suspect":
-                return hasTurn ? undefined : "suspected";
+            case "suspect": {
+                const mayRun = turn !== undefined && (turn.isAlone || !this.mustBeAlone(fingerprint));
+                return mayRun ? undefined : "suspected";
+            }
             case "quarantined":
                 this.recordRefusal(content, fingerprint);
                 return "quarantined";
@@ -220,6 +225,10 @@
         return isLifted;
     }
 
+    private mustBeAlone(fingerprint: string): boolean {
+        return this.quarantine.endCountOf(fingerprint) > 1;
+    }
+
     private suspicionOf(fingerprint: string): Suspicion {
         const suspicion = this.quarantine.suspicionOf(fingerprint);
         if (suspicion !== "none") {
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -191,3 +191,29 @@
     assert.deepEqual(reportedLeaving, []);
     assert.equal(gate.ratePerSecond, undefined);
 });
+
+test("a suspect that waits for a slot beside others runs alone once it was in flight at a second end", async () => {
+    const { client, crashing, gate, receivedIds } = rig;
+    const createSuspect = (id: string): ServerRequest => {
+        const request = createRequest(id, 2_000);
+        return { ...request, content: { ...request.content, target: `/${id}` }, isTrial: true };
+    };
+    const [first, second] = [createSuspect("first"), createSuspect("second")];
+    crashing.recordEnd(1, [first, second].map(({ content }) => ({ content, isTried: false })));
+    const firstAttempt = client.send(first, neverDisconnected);
+    await waitUntil(() => receivedIds.includes("first"));
+    const secondAttempt = client.send(second, neverDisconnected);
+    await runMicrotasks();
+    rig.clock.advance(1_000);
+    await waitUntil(() => gate.load().waiting === 1);
+    const suspects = [crashing.fingerprintOf(second.content)];
+    const end = { id: "other/1/1", suspects, cleared: [], tried: undefined, ageMs: 0, idleMs: 0 };
+    crashing.receive({ service: "catalogue", ends: [end], wantsReply: false }, "127.0.0.2");
+    rig.answerLast();
+    assert.equal((await firstAttempt.result).outcome.kind, "answered");
+    await waitUntil(() => receivedIds.includes("second"));
+    rig.endServer();
+    const { outcome } = await secondAttempt.result;
+    assert.equal(outcome.kind, "unknown");
+    assert.deepEqual(rig.sentNotices.at(-1)?.ends[0]?.tried, suspects[0]);
+});
--- a/packages/mesh/src/test/server-rig.ts
+++ b/packages/mesh/src/test/server-rig.ts
@@ -149,12 +149,17 @@
         this.open.pop();
     }
 
-    async close(): Promise<void> {
-        await this.client.close();
+    /** Ends the server at once, with all its connections, as a crash does. */
+    endServer(): void {
         this.server.closeAllConnections();
         this.server.close();
     }
 
+    async close(): Promise<void> {
+        await this.client.close();
+        this.endServer();
+    }
+
     private get port(): number {
         return (this.server.address() as AddressInfo).port;
     }
--- a/packages/mesh/src/test/simulated-crash-fleet.ts
+++ b/packages/mesh/src/test/simulated-crash-fleet.ts
@@ -197,7 +197,11 @@
                 return await this.run(node, { content, isTried: false });
             case "suspect": {
                 await admission.turn.granted;
-                const refusal = node.crashing.refusalOf(content, true);
+                const refusal = node.crashing.refusalOf(content, admission.turn);
+                if (refusal === "suspected") {
+                    admission.turn.end();
+                    return await this.runAt(node, { content, softDeadlineAtMs }, true);
+                }
                 const { isAlone } = admission.turn;
                 const outcome = refusal ? refuse(refusal) : await this.run(node, { content, isTried: isAlone });
                 admission.turn.end();
