Send a request to no second server after one that it ended alone, also where its sender knows nothing

Cause: whether an attempt had failed as a trial was taken from what the sender knew when it began. The node beside the server knew the request as a suspect, let it run alone and lost the server; the sender, of another service, took that for the first end and went on before the notice of the end had arrived elsewhere. Change: the node beside the server says in the outcome that the request ran there alone. Evidence: the new test of relays failed before (two servers).

--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -328,12 +328,13 @@
     }
 
     private async findLossReason(request: ServerRequest, attempt: ServerAttempt): Promise<UnknownReason> {
-        const hasEnded = await this.endDetector.recordLoss({
-            content: request.content,
-            isTried: attempt.turn?.isAlone === true,
-            run: attempt.serverRun,
-        });
-        return hasEnded ? "server-ended" : "connection-lost";
+        const isTried = attempt.turn?.isAlone === true;
+        const run = attempt.serverRun;
+        const hasEnded = await this.endDetector.recordLoss({ content: request.content, isTried, run });
+        if (!hasEnded) {
+            return "connection-lost";
+        }
+        return isTried ? "server-ended-in-trial" : "server-ended";
     }
 
     /** Accepts only responses that repeat the request's id, carry the server's mark and have no content encoding. */
--- a/packages/mesh/src/request/outcome.ts
+++ b/packages/mesh/src/request/outcome.ts
@@ -27,6 +27,8 @@
     | "connection-lost"
     /** The connection was lost because the backend server ended. */
     | "server-ended"
+    /** The same, while the request ran there as a suspect, and beside no other suspect. */
+    | "server-ended-in-trial"
     | "answer-invalid"
     | "silent"
     | "timeout"
--- a/packages/mesh/src/request/relay.ts
+++ b/packages/mesh/src/request/relay.ts
@@ -270,9 +270,9 @@
     }
 
     private recordEnd(server: KnownServer, reason: UnknownReason): void {
-        if (reason === "server-ended") {
+        if (reason === "server-ended" || reason === "server-ended-in-trial") {
             this.dependencies.balancer.avoid(server, "loss");
-            this.hasFailedTrial = this.isSuspect;
+            this.hasFailedTrial = this.isSuspect || reason === "server-ended-in-trial";
             this.isSuspect = true;
         }
     }
--- a/packages/mesh/src/test/relay-attempts.test.ts
+++ b/packages/mesh/src/test/relay-attempts.test.ts
@@ -15,6 +15,7 @@
 const DEADLINE_MS = 5_000;
 const LOST: AttemptOutcome = { kind: "unknown", reason: "connection-lost", detail: "" };
 const ENDED: AttemptOutcome = { kind: "unknown", reason: "server-ended", detail: "" };
+const ENDED_IN_TRIAL: AttemptOutcome = { kind: "unknown", reason: "server-ended-in-trial", detail: "" };
 const QUARANTINED: AttemptOutcome = { kind: "not-run", reason: "quarantined", reached: false, retryAfterMs: 0 };
 const SUSPECTED: AttemptOutcome = { kind: "not-run", reason: "suspected", reached: false, retryAfterMs: 0 };
 
@@ -87,6 +88,12 @@
     assert.deepEqual(trials, [false, true]);
 });
 
+test("a request that is known as a suspect only beside the server that it ends reaches no second one", async () => {
+    const { trials, error } = await relay([ENDED_IN_TRIAL], { maximumAttempts: 3 });
+    assert.deepEqual(trials, [false]);
+    assert.equal(error?.execution, "unknown");
+});
+
 test("a request that may not be repeated is not sent to another server after one ended", async () => {
     const { trials, error } = await relay([ENDED], { maximumAttempts: 3, idempotent: false });
     assert.deepEqual(trials, [false]);
--- a/packages/mesh/src/test/simulated-crash-fleet.ts
+++ b/packages/mesh/src/test/simulated-crash-fleet.ts
@@ -256,7 +256,10 @@
             node.crashing.recordEnd(node.run, lost.map(({ request }) => request));
         }
         node.run++;
-        lost.forEach(({ settle }) => settle({ kind: "unknown", reason: "server-ended", detail: "" }));
+        lost.forEach(({ request, settle }) => {
+            const reason = request.isTried ? "server-ended-in-trial" : "server-ended";
+            settle({ kind: "unknown", reason, detail: "" });
+        });
         this.clock.setTimer(DOWN_MS, () => {
             node.isServerUp = true;
         });
