Do not clear a suspect by a server's error

Cause: any response with the server's mark counted as the completion of a run. A server that fails part of its requests, or answers 504 at the deadline of a run that is still at work, so cleared the request that ends it, and the count of ends began anew. Change: only a response below 500 clears. Cost: a request that was in flight at an end and then only fails stays a suspect, and waits up to 0.2 s for its turn. Evidence: the new test failed before (0 suspects after a 500).

--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -11,6 +11,7 @@
 import type { GateOutcome, ServerGate } from "../process/server-gate.js";
 import type { SuspectTurn } from "../process/suspect-turns.js";
 import type { HeaderNames } from "../request/header-names.js";
+import { isServerError } from "../request/outcome.js";
 import type { Attempt, AttemptOutcome, AttemptResult, AttemptTiming, UnknownReason } from "../request/outcome.js";
 import type { ServerRequest } from "../request/relayed-request.js";
 import { ExchangePool } from "./http-exchange.js";
@@ -251,7 +252,7 @@
             return attempt.lateRefusal ?? await this.toFailedOutcome(request, attempt, result);
         }
         const outcome = this.toOutcome(request.content.id, result.response);
-        if (outcome.kind === "answered") {
+        if (outcome.kind === "answered" && !isServerError(outcome.response)) {
             this.dependencies.crashing.recordCompletion(request.content);
         }
         if (isFromExpectedInstance(outcome)) {
--- a/packages/mesh/src/process/crashing-requests.ts
+++ b/packages/mesh/src/process/crashing-requests.ts
@@ -168,7 +168,10 @@
         return highestScoringNames(fingerprint, [...addresses], addresses.size);
     }
 
-    /** Records that a request completed: it does not end servers. */
+    /**
+     * Records that a request completed: it does not end servers. A response that reports a server error is no completion, as
+     * the server may have failed before, or at its deadline while the run was still at work.
+     */
     recordCompletion(content: RequestContent): void {
         if (this.quarantine.isEmpty) {
             return;
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -217,3 +217,22 @@
     assert.equal(outcome.kind, "unknown");
     assert.deepEqual(rig.sentNotices.at(-1)?.ends[0]?.tried, suspects[0]);
 });
+
+test("a suspect whose server responds with an error of its own stays one, and is cleared by any other response", async () => {
+    const { client, crashing, receivedIds } = rig;
+    const suspect = createRequest("suspect");
+    crashing.recordEnd(1, [{ content: suspect.content, isTried: false }]);
+    for (
+        const { status, suspects } of [{ status: 500, suspects: 1 }, { status: 504, suspects: 1 }, {
+            status: 200,
+            suspects: 0,
+        }]
+    ) {
+        const received = receivedIds.length;
+        const attempt = client.send(suspect, neverDisconnected);
+        await waitUntil(() => receivedIds.length > received);
+        rig.answerLast(status);
+        assert.equal((await attempt.result).outcome.kind, "answered");
+        assert.equal(crashing.suspectCount, suspects);
+    }
+});
--- a/packages/mesh/src/test/server-rig.ts
+++ b/packages/mesh/src/test/server-rig.ts
@@ -121,8 +121,8 @@
     }
 
     /** Responds to the request that was received last. */
-    answerLast(): void {
-        this.open.pop()?.end("answer");
+    answerLast(status = 200): void {
+        this.open.pop()?.writeHead(status).end("answer");
     }
 
     /** Sends the head of a response to the request that was received last; the returned function sends the rest. */
