Hold a request as found once it ran alone at two ends

Cause: that a request ran alone at an end does not count while another one that was in flight there was in flight at a further end too. Servers that end later for other reasons can so take back what was found, again and again, and each time costs one more end. Change: two ends at which a request ran alone are enough, as one other request can have caused one of them at most. Evidence: the new test of core failed before ('suspect' after three ends, two of them alone).

--- a/packages/core/src/process/quarantine.ts
+++ b/packages/core/src/process/quarantine.ts
@@ -58,6 +58,8 @@
 const QUARANTINE_ENDS = 2;
 /** Ends that are enough, whatever else ended servers meanwhile. */
 const CERTAIN_ENDS = 3;
+/** Ends at which a request was named that are enough, whatever else was in flight there. */
+const TRIALS_BESIDE_OTHERS = 2;
 /** Ends that are closer together than this may have one cause. */
 const RELATED_ENDS_MS = 60_000;
 /** An arrival is worth telling others only if the one before it was longer ago. */
@@ -181,11 +183,13 @@
     }
 
     /**
-     * Whether a request ran alone at one of its ends. It did not where another request was in flight, begun before it was
-     * known as a suspect, that was in flight at a further end too.
+     * Whether a request ran alone at one of its ends. Where another request was in flight, begun before it was known as a
+     * suspect, that was in flight at a further end too, it takes two such ends: the other one may have caused the first.
      */
     private wasTried(fingerprint: string, ends: ReadonlySet<EndRecord>): boolean {
-        return [...ends].some(end => end.tried === fingerprint && !this.hasOtherRepeatedSuspect(end, fingerprint));
+        const triedAt = [...ends].filter(end => end.tried === fingerprint);
+        return triedAt.length >= TRIALS_BESIDE_OTHERS ||
+            triedAt.some(end => !this.hasOtherRepeatedSuspect(end, fingerprint));
     }
 
     private hasOtherRepeatedSuspect(end: EndRecord, fingerprint: string): boolean {
--- a/packages/core/src/test/quarantine.test.ts
+++ b/packages/core/src/test/quarantine.test.ts
@@ -108,6 +108,18 @@
     assert.equal(quarantine.suspicionOf("a"), "quarantined");
 });
 
+test("a request that ran alone at two ends stays found, whatever else was in flight there and ends servers later", () => {
+    const quarantine = createQuarantine();
+    recordEnd(quarantine, "1", ["a", "b"]);
+    recordEnd(quarantine, "2", ["a", "b"], "a");
+    assert.equal(quarantine.suspicionOf("a"), "suspect");
+    recordEnd(quarantine, "3", ["a", "c"], "a");
+    recordEnd(quarantine, "4", ["c"]);
+    assert.equal(quarantine.suspicionOf("a"), "quarantined");
+    assert.equal(quarantine.suspicionOf("b"), "suspect");
+    assert.equal(quarantine.suspicionOf("c"), "suspect");
+});
+
 test("requests that end servers at the same time are each quarantined after two ends", () => {
     const quarantine = createQuarantine();
     recordEnd(quarantine, "1", ["a"]);
