Count a request that was given up just before its server ended among those in flight

Cause: when a caller leaves, or its time is over, the node closes the connection, and the request was forgotten. Servers that work on, and end under it, ended under nobody; with nothing else in flight the end was not even noticed. Change: requests that were given up within a second before an end are in its record, behind the others; when no connection can be opened soon after one was given up, the server is asked whether it lives. Evidence: the new test of the client with a real server waited for ever before, as no end was recorded; those of the detector name functions that did not exist.

--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -27,6 +27,7 @@
     ServerAttempt,
 } from "./server-attempt.js";
 import { createServerProbe, ServerEndDetector } from "./server-end-detector.js";
+import type { LostRequest } from "./server-end-detector.js";
 
 /** Collaborators and settings of the client for the local backend server. */
 export interface ServerClientDependencies {
@@ -318,9 +319,11 @@
             return { kind: "unknown", reason: await this.findLossReason(request, attempt), detail };
         }
         if (sent) {
+            this.endDetector.recordGivenUp(toLostRequest(request, attempt));
             return { kind: "unknown", reason: attempt.abortReason ?? "connection-lost", detail };
         }
         if (attempt.abortReason === undefined) {
+            this.endDetector.recordNotConnected();
             this.downUntilMs = this.dependencies.clock.nowMs() + CONNECT_BACKOFF_MS;
             this.dependencies.gate.setProbing(true);
             this.dependencies.gate.refuseWaiting("server-down");
@@ -329,13 +332,12 @@
     }
 
     private async findLossReason(request: ServerRequest, attempt: ServerAttempt): Promise<UnknownReason> {
-        const isTried = attempt.turn?.isAlone === true;
-        const run = attempt.serverRun;
-        const hasEnded = await this.endDetector.recordLoss({ content: request.content, isTried, run });
+        const lost = toLostRequest(request, attempt);
+        const hasEnded = await this.endDetector.recordLoss(lost);
         if (!hasEnded) {
             return "connection-lost";
         }
-        return isTried ? "server-ended-in-trial" : "server-ended";
+        return lost.isTried ? "server-ended-in-trial" : "server-ended";
     }
 
     /** Accepts only responses that repeat the request's id, carry the server's mark and have no content encoding. */
@@ -371,6 +373,10 @@
     }
 }
 
+function toLostRequest({ content }: ServerRequest, { turn, serverRun }: ServerAttempt): LostRequest {
+    return { content, isTried: turn?.isAlone === true, run: serverRun };
+}
+
 /** Whether a response is valid and comes from the instance that the request was for. */
 function isFromExpectedInstance(outcome: AttemptOutcome): boolean {
     switch (outcome.kind) {
--- a/packages/mesh/src/connection/server-end-detector.ts
+++ b/packages/mesh/src/connection/server-end-detector.ts
@@ -47,6 +47,8 @@
 const MAXIMUM_UNEXPLAINED_LOSSES = 256;
 /** Time before an end within which a connection that was lost belongs to it. */
 const JUST_BEFORE_END_MS = 100;
+/** Time for which a server may work on a request after its connection was closed. */
+const GIVEN_UP_RUN_MS = 1_000;
 /** Time for which a new connection has to stay open before the server counts as alive. */
 const PROBE_OPEN_MS = 30;
 const PROBE_TIMEOUT_MS = 300;
@@ -60,6 +62,8 @@
     private start: ServerStart | undefined;
     private pendingLosses: LostRequest[] = [];
     private unexplainedLosses: UnexplainedLoss[] = [];
+    /** Requests whose connection this node closed before the response; the server may still work on them. */
+    private givenUp: UnexplainedLoss[] = [];
     /** Resolves when it is known whether the server lives; undefined when nobody asks. */
     private check: Promise<boolean> | undefined;
 
@@ -92,6 +96,19 @@
         return hasEnded || request.run < this.run;
     }
 
+    /** Records a request that was given up after it was sent. */
+    recordGivenUp(request: LostRequest): void {
+        this.givenUp = [...this.recentGivenUp(), { request, lostAtMs: this.dependencies.clock.nowMs() }]
+            .slice(-MAXIMUM_UNEXPLAINED_LOSSES);
+    }
+
+    /** Records that no connection could be opened: the server may have ended under a request that was given up. */
+    recordNotConnected(): void {
+        if (this.recentGivenUp().length > 0) {
+            this.check ??= this.checkForEnd();
+        }
+    }
+
     /** Records which instance runs at the address; where it is another than before, the one before has ended. */
     recordInstance({ instance, startedAtMs }: ServerStart): void {
         const before = this.start;
@@ -125,7 +142,7 @@
             return false;
         }
         this.hasRunEnded = true;
-        this.report([...this.takeUnexplained(JUST_BEFORE_END_MS), ...ofCurrentRun]);
+        this.report([...this.takeUnexplained(JUST_BEFORE_END_MS), ...ofCurrentRun, ...this.takeGivenUp()]);
         return true;
     }
 
@@ -150,6 +167,17 @@
         this.unexplainedLosses = this.unexplainedLosses.slice(-MAXIMUM_UNEXPLAINED_LOSSES);
     }
 
+    private recentGivenUp(): UnexplainedLoss[] {
+        const recentMs = this.dependencies.clock.nowMs() - GIVEN_UP_RUN_MS;
+        return this.givenUp.filter(({ request, lostAtMs }) => request.run === this.run && lostAtMs > recentMs);
+    }
+
+    private takeGivenUp(): LostRequest[] {
+        const requests = this.recentGivenUp().map(({ request }) => request);
+        this.givenUp = [];
+        return requests;
+    }
+
     /** Removes and returns what was lost of the current run in the last `durationMs` while the server seemed to live. */
     private takeUnexplained(durationMs: number): LostRequest[] {
         const recentMs = this.dependencies.clock.nowMs() - durationMs;
--- a/packages/mesh/src/test/server-client.test.ts
+++ b/packages/mesh/src/test/server-client.test.ts
@@ -236,3 +236,16 @@
         assert.equal(crashing.suspectCount, suspects);
     }
 });
+
+test("a request that its caller gave up just before its server ended is a suspect", async () => {
+    const { client, crashing, receivedIds } = rig;
+    const request = createRequest("given-up");
+    const attempt = client.send(request, neverDisconnected);
+    await waitUntil(() => receivedIds.includes("given-up"));
+    attempt.abort("caller-gone");
+    await attempt.result;
+    rig.endServer();
+    await client.send(createRequest("next"), neverDisconnected).result;
+    await waitUntil(() => crashing.suspectCount > 0);
+    assert.deepEqual(crashing.listEnds()[0]?.suspects, [crashing.fingerprintOf(request.content)]);
+});
--- a/packages/mesh/src/test/server-end-detector.test.ts
+++ b/packages/mesh/src/test/server-end-detector.test.ts
@@ -83,6 +83,27 @@
     assert.deepEqual(ends, []);
 });
 
+test("a request that was given up just before the end was in flight there", async () => {
+    const { clock, detector, ends, lose } = createDetector(["refused"]);
+    detector.recordGivenUp(createLoss("long-ago", 1));
+    clock.advance(LATER_MS);
+    detector.recordGivenUp(createLoss("given-up", 1));
+    clock.advance(500);
+    assert.equal(await lose("a"), true);
+    assert.deepEqual(ends, [{ run: 1, ids: ["a", "given-up"] }]);
+});
+
+test("an end under nothing but a request that was given up is found when no connection can be opened", async () => {
+    const { detector, ends, lose } = createDetector(["refused"]);
+    detector.recordNotConnected();
+    detector.recordGivenUp(createLoss("given-up", 1));
+    detector.recordNotConnected();
+    await new Promise(resolve => setImmediate(resolve));
+    assert.deepEqual(ends, [{ run: 1, ids: ["given-up"] }]);
+    detector.recordNotConnected();
+    assert.equal(await lose("later", 2), false);
+});
+
 async function listen(onConnection: (socket: Socket) => void): Promise<{ server: Server; port: number; }> {
     const server = createServer(onConnection);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
