Share ends of servers between the services that get requests of one route

Cause: each service held its own ends. A split, or a configuration that moves a route, let the request begin anew at the next one. Change: an end is told to the nodes of services that share a route with the local one, in the active configuration or as an earlier one had it, and counts there as the service's own. Where a configuration makes services share a route, each node asks three nodes of the new ones.

--- a/packages/mesh/src/process/crashing-requests.ts
+++ b/packages/mesh/src/process/crashing-requests.ts
@@ -142,14 +142,15 @@
 
     /** Suspicion against a request, as far as the node where it begins knows. */
     suspicionAtEntry(service: string, content: RequestContent): Suspicion {
-        if (this.refusedUntilMs.size === 0 && (this.quarantine.isEmpty || service !== this.options.service)) {
+        const isKnownHere = !this.quarantine.isEmpty && this.exchange.isShared(service);
+        if (this.refusedUntilMs.size === 0 && !isKnownHere) {
             return "none";
         }
         const fingerprint = this.fingerprintOf(content);
         if (this.isRefusalRemembered(fingerprint)) {
             return "quarantined";
         }
-        return service === this.options.service ? this.suspicionOf(fingerprint) : "none";
+        return isKnownHere ? this.suspicionOf(fingerprint) : "none";
     }
 
     /** Remembers for a moment that the node beside a server refused a request as found. */
@@ -210,7 +211,7 @@
     /** Applies what another node told; returns what it wants to know, if it asked. */
     receive(notice: QuarantineNotice, from: string): QuarantineNotice | undefined {
         const reply = this.exchange.receive(notice, from);
-        if (notice.service === this.options.service) {
+        if (this.exchange.isShared(notice.service)) {
             this.releaseCleared(notice.ends);
         }
         return reply;
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -17,7 +17,9 @@
 import { RequestAdmission } from "../request/request-admission.js";
 import { ConfigurationLease } from "../version/configuration-lease.js";
 import { IndexedConfiguration } from "../version/indexed-configuration.js";
+import type { MeshConfiguration } from "../version/mesh-configuration.js";
 import { PublishedState } from "../version/published-state.js";
+import { SharedRoutes } from "../version/shared-routes.js";
 import { WeightedRoundRobin } from "../version/weighted-round-robin.js";
 import { BodyBudget } from "./body-budget.js";
 import { CrashingRequests } from "./crashing-requests.js";
@@ -81,6 +83,9 @@
     private follower: StateFollower | undefined;
     private readonly fleet: FleetView;
     private hasAskedForQuarantine = false;
+    private readonly sharedRoutes = SharedRoutes.create();
+    /** Services that get requests of routes of the local service, besides it. */
+    private siblingServices: readonly string[] = [];
     private version: IndexedConfiguration | undefined;
     private callerServer: Server | undefined;
     private readonly listeners = NodeListeners.create();
@@ -221,6 +226,7 @@
             return false;
         }
         this.version = IndexedConfiguration.create(configuration);
+        this.updateSiblings(configuration);
         this.quota.setOrganisations(configuration.organisations ?? []);
         this.roundRobin.retain(new Set(configuration.routes.map(route => route.name)));
         if (this.callerServer) {
@@ -230,6 +236,13 @@
         return true;
     }
 
+    private updateSiblings(configuration: MeshConfiguration): void {
+        const before = this.siblingServices;
+        this.sharedRoutes.apply(configuration);
+        this.siblingServices = this.sharedRoutes.siblingsOf(this.settings.service);
+        this.crashing.exchange.askSiblings(this.siblingServices.filter(service => !before.includes(service)));
+    }
+
     /**
      * Stops without interrupting requests: announces the stop, serves the requests that still arrive, then closes the
      * listeners and ends when the last request has ended, or shortly before the process is killed.
@@ -304,6 +317,7 @@
             headerNames: settings.headerNames,
             hostAddress: settings.hostAddress,
             service: settings.service,
+            siblingServices: () => this.siblingServices,
             hostsOf: service => directory.hostsOf(service),
             allHosts: () => this.fleet.hosts.map(({ address }) => address),
             readyServers: service => directory.readyServers(service),
--- a/packages/mesh/src/process/quarantine-exchange.ts
+++ b/packages/mesh/src/process/quarantine-exchange.ts
@@ -25,6 +25,8 @@
     readonly hostAddress: string;
     /** Service of the backend server on this host. */
     readonly service: string;
+    /** Other services that get requests of routes of the local service. */
+    readonly siblingServices: () => readonly string[];
     /** Addresses of the hosts that have a backend server of a service. */
     readonly hostsOf: (service: string) => readonly string[];
     /** Addresses of all hosts. */
@@ -56,7 +58,7 @@
 
 /** What this node and others know of the ends of one service. */
 export class QuarantineExchange {
-    /** Ends of the local service. */
+    /** Ends of the local service and of its siblings. */
     readonly quarantine: Quarantine;
     /** Ends of services that have too few hosts to remember them alone. */
     private readonly otherQuarantines = new Map<string, Quarantine>();
@@ -99,14 +101,19 @@
         this.startRepeating();
     }
 
+    /** Whether ends of a service count for requests to the local one: a request can come to both. */
+    isShared(service: string): boolean {
+        return service === this.options.service || this.options.siblingServices().includes(service);
+    }
+
     /** Applies what another node told; returns what it wants to know, if it asked. */
     receive({ service, ends, wantsReply }: QuarantineNotice, from: string): QuarantineNotice | undefined {
-        const isLocal = service === this.options.service;
-        const quarantine = isLocal ? this.quarantine : this.otherQuarantineOf(service, ends);
+        const isShared = this.isShared(service);
+        const quarantine = isShared ? this.quarantine : this.otherQuarantineOf(service, ends);
         if (quarantine) {
             this.apply(quarantine, ends, from);
         }
-        if (isLocal && !wantsReply) {
+        if (isShared && !wantsReply) {
             this.recordAnswer(from);
         }
         return wantsReply ? createNotice(service, quarantine, false) : undefined;
@@ -134,12 +141,21 @@
     /** Asks some nodes what they know, because this process has just started. */
     askOthers(): void {
         const { service, hostAddress, send, clock } = this.options;
-        const asked = highestScoringNames(hostAddress, this.witnesses(), MINIMUM_WITNESSES);
+        const asked = highestScoringNames(hostAddress, this.ownWitnesses(), MINIMUM_WITNESSES);
         asked.forEach(address => this.askedNodes.add(address));
         asked.forEach(address => send(address, createNotice(service, this.quarantine, true)));
         clock.setTimer(asked.length > 0 ? ANSWER_WAIT_MS : 0, () => this.endWaitForOthers());
     }
 
+    /** Asks some nodes of services that have become siblings what they know. */
+    askSiblings(services: readonly string[]): void {
+        const { hostAddress, hostsOf, send } = this.options;
+        for (const service of services) {
+            highestScoringNames(hostAddress, [...hostsOf(service)], MINIMUM_WITNESSES)
+                .forEach(address => send(address, createNotice(service, undefined, true)));
+        }
+    }
+
     /** Tells a node that could not be reached before all that is known of its service, if anything is. */
     tellRegained(address: string): void {
         if (!this.quarantine.isEmpty && this.witnesses().includes(address)) {
@@ -166,8 +182,14 @@
         this.startRepeating();
     }
 
-    /** Nodes that are to know of the ends of the local service: those of the service, and others where these are few. */
+    /** Nodes that are to know of the ends of the local service. */
     private witnesses(): string[] {
+        const { siblingServices, hostsOf } = this.options;
+        return [...new Set([...this.ownWitnesses(), ...siblingServices().flatMap(service => hostsOf(service))])];
+    }
+
+    /** Nodes of the service, and others where these are few. */
+    private ownWitnesses(): string[] {
         const { service, hostAddress, hostsOf, allHosts } = this.options;
         const peers = hostsOf(service).filter(address => address !== hostAddress);
         if (peers.length >= MINIMUM_WITNESSES) {
--- a/packages/mesh/src/test/crashing-requests-fleet.test.ts
+++ b/packages/mesh/src/test/crashing-requests-fleet.test.ts
@@ -39,6 +39,15 @@
     assert.ok(fleet.ends.length <= MAXIMUM_ENDS, `${fleet.ends.length} servers ended`);
 });
 
+for (const splitServices of [2, 4]) {
+    test(`a request whose route is split over services ends two servers of all of them at most: ${splitServices}`, async () => {
+        const fleet = SimulatedCrashFleet.create({ nodes: 60, services: 6, endDelayMs: 20, splitServices });
+        await fleet.play({ durationMs: 12_000, copyIntervalMs: 120 });
+        assert.ok(fleet.ends.length <= MAXIMUM_ENDS, `${fleet.ends.length} servers ended`);
+        assert.equal(fleet.popularServed, fleet.popularSent);
+    });
+}
+
 test("nodes that restart one after another learn from the others what is refused", async () => {
     const fleet = SimulatedCrashFleet.create({ nodes: 60, services: 6, endDelayMs: 20 });
     await fleet.play({ durationMs: 60_000, copyIntervalMs: 200, restartIntervalMs: 500 });
--- a/packages/mesh/src/test/relay-attempts.test.ts
+++ b/packages/mesh/src/test/relay-attempts.test.ts
@@ -46,6 +46,7 @@
         headerNames,
         hostAddress,
         service: "other",
+        siblingServices: () => [],
         hostsOf: () => [],
         allHosts: () => [],
         readyServers: service => directory.readyServers(service),
--- a/packages/mesh/src/test/server-rig.ts
+++ b/packages/mesh/src/test/server-rig.ts
@@ -71,6 +71,7 @@
             headerNames,
             hostAddress: LOCAL_ADDRESS,
             service: "catalogue",
+            siblingServices: () => [],
             hostsOf: () => [LOCAL_ADDRESS, PEER_ADDRESS],
             allHosts: () => [LOCAL_ADDRESS, PEER_ADDRESS],
             readyServers: () => [{ hostAddress: LOCAL_ADDRESS }],
--- a/packages/mesh/src/test/simulated-crash-fleet.ts
+++ b/packages/mesh/src/test/simulated-crash-fleet.ts
@@ -26,6 +26,8 @@
     readonly objectiveMs?: number;
     /** Number of different popular requests. */
     readonly popularTargets?: number;
+    /** Services among which the fatal request's route splits its requests. */
+    readonly splitServices?: number;
 }
 
 /** What happens in a play. */
@@ -40,7 +42,8 @@
     readonly externalEndIntervalMs?: number;
 }
 
-const SERVICE = "service-0";
+const SERVICE_PREFIX = "service-";
+const SERVICE = `${SERVICE_PREFIX}0`;
 const FATAL_TARGET = "/fatal";
 const DOWN_MS = 2_000;
 const DEFAULT_SERVICE_MS = 20;
@@ -122,7 +125,7 @@
 
     private createNode(index: number): SimulatedNode {
         const address = `10.0.${Math.floor(index / 250)}.${index % 250 + 1}`;
-        const service = `service-${index % Math.floor(this.options.services)}`;
+        const service = `${SERVICE_PREFIX}${index % Math.floor(this.options.services)}`;
         return {
             address,
             service,
@@ -141,6 +144,10 @@
             headerNames,
             hostAddress: address,
             service,
+            siblingServices: () =>
+                this.splitServices.includes(service) ?
+                    this.splitServices.filter(name => name !== service) :
+                    [],
             hostsOf: name => directory.hostsOf(name),
             allHosts: () => this.nodes.map(node => node.address),
             readyServers: name => directory.readyServers(name),
@@ -231,6 +238,10 @@
         });
     }
 
+    private get splitServices(): string[] {
+        return Array.from({ length: this.options.splitServices ?? 1 }, (_, index) => `${SERVICE_PREFIX}${index}`);
+    }
+
     private get serviceMs(): number {
         return this.options.serviceMs ?? DEFAULT_SERVICE_MS;
     }
@@ -273,7 +284,8 @@
     }
 
     private async sendFatal(node: SimulatedNode): Promise<void> {
-        const result = await this.relay(node, FATAL_TARGET, DEADLINE_MS);
+        const service = this.splitServices[Math.floor(this.random() * this.splitServices.length)]!;
+        const result = await this.relay(node, FATAL_TARGET, DEADLINE_MS, service);
         this.fatalRefusals += result === "request-quarantined" ? 1 : 0;
     }
 
@@ -291,7 +303,12 @@
         }
     }
 
-    private async relay(node: SimulatedNode, target: string, deadlineMs: number): Promise<string> {
+    private async relay(
+        node: SimulatedNode,
+        target: string,
+        deadlineMs: number,
+        service = SERVICE,
+    ): Promise<string> {
         const nowMs = this.clock.nowMs();
         const request: RelayedRequest = {
             content: createContent({ id: String(++this.sent), target }),
@@ -300,7 +317,7 @@
             softDeadlineAtMs: nowMs + deadlineMs,
         };
         try {
-            await Relay.create(this.relays.get(node)!, request, SERVICE, () => false).run();
+            await Relay.create(this.relays.get(node)!, request, service, () => false).run();
             return "answered";
         }
         catch (error) {
