--- a/packages/mesh/src/connection/server-client.ts
+++ b/packages/mesh/src/connection/server-client.ts
@@ -23,11 +23,11 @@
     NOT_CONNECTED,
     NOT_SENT_TIMING,
     OTHER_SERVICE,
-    RETRY_AFTER_FAILURE_MS,
     ServerAttempt,
 } from "./server-attempt.js";
 import { createServerProbe, ServerEndDetector } from "./server-end-detector.js";
 import type { LostRequest } from "./server-end-detector.js";
+import { isFromExpectedInstance, toServerOutcome } from "./server-response.js";
 
 /** Collaborators and settings of the client for the local backend server. */
 export interface ServerClientDependencies {
@@ -51,7 +51,6 @@
 
 const CONNECT_TIMEOUT_MS = 300;
 const IDLE_TIMEOUT_MS = 4_000;
-const MISDIRECTED_STATUS = 421;
 /** Time after a failed connection for which no new connection is tried. */
 const CONNECT_BACKOFF_MS = 150;
 
@@ -252,7 +251,10 @@
         if (result.kind === "failed") {
             return attempt.lateRefusal ?? await this.toFailedOutcome(request, attempt, result);
         }
-        const outcome = this.toOutcome(request.content.id, result.response);
+        const outcome = toServerOutcome(request.content.id, result.response, this.dependencies.headerNames);
+        if (outcome.kind === "not-run" && outcome.reason === "other-instance") {
+            this.recordReportedInstance(result.response);
+        }
         if (outcome.kind === "answered" && !isServerError(outcome.response)) {
             this.dependencies.crashing.recordCompletion(request.content);
         }
@@ -340,51 +342,16 @@
         return lost.isTried ? "server-ended-in-trial" : "server-ended";
     }
 
-    /** Accepts only responses that repeat the request's id, carry the server's mark and have no content encoding. */
-    private toOutcome(id: string, response: ExchangeResponse): AttemptOutcome {
-        const { headerNames } = this.dependencies;
-        const { headers, status } = response;
-        if (headers.get(headerNames.attemptId) !== id && id !== "") {
-            return { kind: "unknown", reason: "answer-invalid", detail: "the answer names another request" };
-        }
-        if (headers.get("content-encoding") !== undefined) {
-            return { kind: "unknown", reason: "answer-invalid", detail: "the answer is encoded" };
-        }
-        if (status === MISDIRECTED_STATUS) {
-            const instance = headers.get(headerNames.instance);
-            if (instance !== undefined) {
-                this.dependencies.localInstance.setReported(instance);
-                this.recordInstance({ instance, startedAtMs: undefined });
-            }
-            return { kind: "not-run", reason: "other-instance", reached: true, retryAfterMs: RETRY_AFTER_FAILURE_MS };
+    /** Records which instance runs at the address, as it refused a request for another one. */
+    private recordReportedInstance({ headers }: ExchangeResponse): void {
+        const instance = headers.get(this.dependencies.headerNames.instance);
+        if (instance !== undefined) {
+            this.dependencies.localInstance.setReported(instance);
+            this.recordInstance({ instance, startedAtMs: undefined });
         }
-        if (headers.get(headerNames.notRun) !== undefined) {
-            return {
-                kind: "not-run",
-                reason: "refused-by-server",
-                reached: true,
-                retryAfterMs: RETRY_AFTER_FAILURE_MS,
-            };
-        }
-        if (headers.get(headerNames.signature) === undefined) {
-            return { kind: "unknown", reason: "answer-invalid", detail: "the answer bears no mark of the server" };
-        }
-        return { kind: "answered", response };
     }
 }
 
 function toLostRequest({ content }: ServerRequest, { turn, serverRun }: ServerAttempt): LostRequest {
     return { content, isTried: turn?.isAlone === true, run: serverRun };
 }
-
-/** Whether a response is valid and comes from the instance that the request was for. */
-function isFromExpectedInstance(outcome: AttemptOutcome): boolean {
-    switch (outcome.kind) {
-        case "answered":
-            return true;
-        case "not-run":
-            return outcome.reason === "refused-by-server";
-        case "unknown":
-            return false;
-    }
-}
