--- a/packages/core/src/process/quarantine.ts
+++ b/packages/core/src/process/quarantine.ts
@@ -231,7 +231,7 @@
             return;
         }
         const weightOf = (fingerprint: string) => fingerprint === end.tried ? Infinity : this.endCountOf(fingerprint);
-        const ranked = [...end.suspects].sort((left, right) => weightOf(right) - weightOf(left) || 0);
+        const ranked = [...end.suspects].sort((left, right) => weightOf(right) - weightOf(left));
         ranked.slice(maximumSuspects).forEach(fingerprint => this.removeSuspect(end, fingerprint));
     }
 
