--- a/packages/mesh/src/test/crashing-requests-fleet.test.ts
+++ b/packages/mesh/src/test/crashing-requests-fleet.test.ts
@@ -48,6 +48,16 @@
     });
 }
 
+test("each side of a cut finds a request for itself, and both know it once the cut has healed", async () => {
+    const fleet = SimulatedCrashFleet.create({ nodes: 60, services: 6, endDelayMs: 20 });
+    const cut = { fromMs: 100, toMs: 6_000 };
+    await fleet.play({ durationMs: cut.toMs, copyIntervalMs: 120, cut });
+    assert.ok(fleet.ends.length <= 2 * MAXIMUM_ENDS, `${fleet.ends.length} servers ended`);
+    const endsBefore = fleet.ends.length;
+    await fleet.play({ durationMs: 10_000, copyIntervalMs: 120 });
+    assert.equal(fleet.ends.length, endsBefore);
+});
+
 test("nodes that restart one after another learn from the others what is refused", async () => {
     const fleet = SimulatedCrashFleet.create({ nodes: 60, services: 6, endDelayMs: 20 });
     await fleet.play({ durationMs: 60_000, copyIntervalMs: 200, restartIntervalMs: 500 });
--- a/packages/mesh/src/test/simulated-crash-fleet.ts
+++ b/packages/mesh/src/test/simulated-crash-fleet.ts
@@ -40,6 +40,8 @@
     readonly restartIntervalMs?: number;
     /** Time between two servers that end for another reason. */
     readonly externalEndIntervalMs?: number;
+    /** Time at which the nodes are cut into two halves, and time at which the cut heals. */
+    readonly cut?: { readonly fromMs: number; readonly toMs: number; };
 }
 
 const SERVICE_PREFIX = "service-";
@@ -51,6 +53,8 @@
 const NETWORK_DELAY_MS = 5;
 const POPULAR_INTERVAL_MS = 7;
 const RETRY_AFTER_MS = 600;
+/** Time after which a node gives up on one behind a cut. */
+const CUT_NOTICE_MS = 300;
 /** Attempts of a caller for one popular request, which it sends again after a failure, as callers do. */
 const CALLER_ATTEMPTS = 3;
 const SEED = 2_032;
@@ -89,6 +93,7 @@
     private readonly nodes: SimulatedNode[];
     private readonly relays = new Map<SimulatedNode, RelayDependencies>();
     private sent = 0;
+    private isCut = false;
 
     private constructor(private readonly options: CrashFleetOptions) {
         this.nodes = Array.from({ length: options.nodes }, (_, index) => this.createNode(index));
@@ -104,8 +109,14 @@
 
     /** Plays some simulated time. */
     async play(play: CrashPlay): Promise<void> {
-        const { copyIntervalMs, copiesAtOnce = 1, restartIntervalMs, externalEndIntervalMs } = play;
+        const { copyIntervalMs, copiesAtOnce = 1, restartIntervalMs, externalEndIntervalMs, cut } = play;
         for (let atMs = 1; atMs <= play.durationMs; atMs++) {
+            if (atMs === cut?.fromMs) {
+                this.isCut = true;
+            }
+            if (atMs === cut?.toMs) {
+                this.healCut();
+            }
             if (atMs % copyIntervalMs === 0) {
                 this.shuffledNodes().slice(0, copiesAtOnce).forEach(node => void this.sendFatal(node));
             }
@@ -155,8 +166,28 @@
         });
     }
 
+    /** Heals the cut; each node learns that it reaches the nodes of the other half again. */
+    private healCut(): void {
+        this.isCut = false;
+        for (const node of this.nodes) {
+            const others = this.nodes.filter(other => this.halfOf(other.address) !== this.halfOf(node.address));
+            others.forEach(({ address }) => node.crashing.exchange.tellRegained(address));
+        }
+    }
+
+    private halfOf(address: string): number {
+        return this.nodes.findIndex(node => node.address === address) < this.nodes.length / 2 ? 0 : 1;
+    }
+
+    private areCutOff(left: string, right: string): boolean {
+        return this.isCut && this.halfOf(left) !== this.halfOf(right);
+    }
+
     private sendNotice(sender: string, receiver: string, notice: QuarantineNotice): void {
         this.messages++;
+        if (this.areCutOff(sender, receiver)) {
+            return;
+        }
         this.clock.setTimer(this.networkDelayMs(), () => {
             const reply = this.findNode(receiver).crashing.receive(notice, sender);
             if (reply) {
@@ -177,11 +208,20 @@
             server: { send: request => toAttempt(this.runAt(node, request, request.isTrial === true)) },
             peers: {
                 send: (target, request, isTrial) =>
-                    toAttempt(this.forward(this.findNode(target.hostAddress), request, isTrial)),
+                    toAttempt(
+                        this.areCutOff(node.address, target.hostAddress) ?
+                            this.loseBehindCut() :
+                            this.forward(this.findNode(target.hostAddress), request, isTrial),
+                    ),
             },
         });
     }
 
+    private async loseBehindCut(): Promise<AttemptOutcome> {
+        await this.delay(CUT_NOTICE_MS);
+        return { kind: "unknown", reason: "silent", detail: "" };
+    }
+
     private async forward(node: SimulatedNode, request: SentRequest, isTrial: boolean): Promise<AttemptOutcome> {
         await this.delay(this.networkDelayMs());
         const outcome = await this.runAt(node, request, isTrial);
