Tell nodes of ends also while their server is not listed

Cause: notices go to the hosts at which servers of the service are listed. A server that ended is off the list until the entry of its new start arrives, just while its node has to know most. Change: a node whose server is listed no longer is told for another minute, or until it is listed. Cost: at most one more message for each end and each server that left in the last minute.

--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -436,6 +436,9 @@
             this.balancer.remove(server.hostAddress);
             this.recordHostLeft(server);
         }
+        if (kind === "left") {
+            this.crashing.exchange.recordUnlisted(server.service, server.hostAddress);
+        }
         if (kind === "left" || kind === "joined") {
             this.quota.updateShares();
         }
--- a/packages/mesh/src/process/quarantine-exchange.ts
+++ b/packages/mesh/src/process/quarantine-exchange.ts
@@ -55,6 +55,8 @@
  */
 const REPETITION_MS = 10_000;
 const REPETITION_INTERVAL_MS = 1_000;
+/** Time for which a node is told of ends after its server is listed no longer: it may only have ended, and come back. */
+const UNLISTED_HOST_MS = 60_000;
 
 /** What this node and others know of the ends of one service. */
 export class QuarantineExchange {
@@ -67,6 +69,8 @@
     private endWaitForOthers: () => void = () => undefined;
     /** Nodes that were asked at the start and have not answered. */
     private readonly askedNodes = new Set<string>();
+    /** Hosts whose server is listed no longer, by address, with its service and the time until which they are told. */
+    private readonly unlistedHosts = new Map<string, { readonly service: string; readonly untilMs: number; }>();
     private repeatsUntilMs = 0;
     private isRepeating = false;
 
@@ -156,6 +160,14 @@
         }
     }
 
+    /** Records that the server of a service at a host is listed no longer. */
+    recordUnlisted(service: string, address: string): void {
+        if (this.isShared(service) && address !== this.options.hostAddress) {
+            this.unlistedHosts.delete(address);
+            this.unlistedHosts.set(address, { service, untilMs: this.options.clock.nowMs() + UNLISTED_HOST_MS });
+        }
+    }
+
     /** Tells a node that could not be reached before all that is known of its service, if anything is. */
     tellRegained(address: string): void {
         if (!this.quarantine.isEmpty && this.witnesses().includes(address)) {
@@ -185,7 +197,18 @@
     /** Nodes that are to know of the ends of the local service. */
     private witnesses(): string[] {
         const { siblingServices, hostsOf } = this.options;
-        return [...new Set([...this.ownWitnesses(), ...siblingServices().flatMap(service => hostsOf(service))])];
+        const siblings = siblingServices().flatMap(service => hostsOf(service));
+        return [...new Set([...this.ownWitnesses(), ...siblings, ...this.recentlyUnlisted()])];
+    }
+
+    private recentlyUnlisted(): string[] {
+        const nowMs = this.options.clock.nowMs();
+        for (const [address, { service, untilMs }] of this.unlistedHosts) {
+            if (untilMs <= nowMs || this.options.hostsOf(service).includes(address)) {
+                this.unlistedHosts.delete(address);
+            }
+        }
+        return [...this.unlistedHosts.keys()];
     }
 
     /** Nodes of the service, and others where these are few. */
