Let no suspect join one that became a suspect of two ends while it runs

One that came before the second end and ran alone was joined by others after it, and the end under it then named nobody. Change: it is asked whenever another suspect is to start. Evidence: the new test of turns; with the answer fixed at the entry, the second suspect starts beside the first, as the test of late suspects shows.

--- a/packages/mesh/src/process/crashing-requests.ts
+++ b/packages/mesh/src/process/crashing-requests.ts
@@ -114,7 +114,7 @@
         }
         const waitMs = Math.min(Math.max(0, slackMs) * TURN_WAIT_FRACTION, MAXIMUM_TURN_WAIT_MS);
         const startByMs = this.options.clock.nowMs() + waitMs;
-        const turn = this.turns.enter({ fingerprint, mustBeAlone: this.mustBeAlone(fingerprint), startByMs });
+        const turn = this.turns.enter({ fingerprint, mustBeAlone: () => this.mustBeAlone(fingerprint), startByMs });
         return { kind: "suspect", turn };
     }
 
--- a/packages/mesh/src/process/suspect-turns.ts
+++ b/packages/mesh/src/process/suspect-turns.ts
@@ -9,8 +9,8 @@
 /** A suspect that is to run. */
 export interface TurnRequest {
     readonly fingerprint: string;
-    /** Whether it may not run beside another suspect, however long it waits. */
-    readonly mustBeAlone: boolean;
+    /** Whether it may not run beside another suspect, however long it waits; this can change while it waits or runs. */
+    readonly mustBeAlone: () => boolean;
     /** Time of the clock until which it waits for others, if it may run beside them. */
     readonly startByMs: number;
 }
@@ -52,7 +52,7 @@
         const suspect: Suspect = { request, grant, timer: undefined, isAlone: true };
         this.waiting.push(suspect);
         this.grantWaiting();
-        if (this.waiting.includes(suspect) && !request.mustBeAlone) {
+        if (this.waiting.includes(suspect) && !request.mustBeAlone()) {
             const waitMs = request.startByMs - this.clock.nowMs();
             suspect.timer = this.clock.setTimer(Math.max(0, waitMs), () => this.grantWaiting());
         }
@@ -97,7 +97,7 @@
     private mayRunBesideOthers({ request }: Suspect): boolean {
         const isUrgent = request.startByMs <= this.clock.nowMs();
         return isUrgent &&
-            ![request, ...[...this.running].map(other => other.request)].some(other => other.mustBeAlone);
+            ![request, ...[...this.running].map(other => other.request)].some(other => other.mustBeAlone());
     }
 
     private start(suspect: Suspect): void {
--- a/packages/mesh/src/test/suspect-turns.test.ts
+++ b/packages/mesh/src/test/suspect-turns.test.ts
@@ -15,7 +15,7 @@
     const clock = ManualClock.create();
     const order = SuspectTurns.create(clock);
     const turns = requests.map((request, index) =>
-        order.enter({ fingerprint: String(index), mustBeAlone: false, startByMs: WAIT_MS, ...request })
+        order.enter({ fingerprint: String(index), mustBeAlone: () => false, startByMs: WAIT_MS, ...request })
     );
     return { clock, order, turns };
 }
@@ -51,7 +51,7 @@
 });
 
 test("a suspect of more than one end runs beside no other, however long it or the other waits", async () => {
-    const { clock, turns } = createTurns({}, { mustBeAlone: true }, {});
+    const { clock, turns } = createTurns({}, { mustBeAlone: () => true }, {});
     clock.advance(WAIT_MS);
     assert.deepEqual(await grantsOf(turns), [true, undefined, true]);
     turns[0]!.end();
@@ -60,11 +60,20 @@
     assert.deepEqual(await grantsOf(turns), [true, true, true]);
     assert.ok(turns[1]!.isAlone);
 
-    const second = createTurns({ mustBeAlone: true }, {});
+    const second = createTurns({ mustBeAlone: () => true }, {});
     second.clock.advance(WAIT_MS);
     assert.deepEqual(await grantsOf(second.turns), [true, undefined]);
 });
 
+test("a suspect that is found at a second end while it runs is joined by no other", async () => {
+    let mustBeAlone = false;
+    const { clock, turns } = createTurns({ mustBeAlone: () => mustBeAlone }, {});
+    mustBeAlone = true;
+    clock.advance(WAIT_MS);
+    assert.deepEqual(await grantsOf(turns), [true, undefined]);
+    assert.ok(turns[0]!.isAlone);
+});
+
 test("all waiting copies of a request run at once when one of them has completed", async () => {
     const { order, turns } = createTurns(
         { fingerprint: "a" },
