--- a/packages/mesh/src/process/quarantine-notice-content.ts
+++ b/packages/mesh/src/process/quarantine-notice-content.ts
@@ -26,8 +26,9 @@
     }
     const repeated = findRepeated(ends);
     const ranked = [...entries].sort((left, right) => rankOf(left, repeated) - rankOf(right, repeated));
-    const chosen = new Set(ranked.slice(0, MAXIMUM_FINGERPRINTS_IN_NOTICE));
-    return ends.map(end => keepOnly(end, entries.filter(entry => entry.end === end && chosen.has(entry))))
+    const first = new Set(ranked.slice(0, MAXIMUM_FINGERPRINTS_IN_NOTICE));
+    const chosen = entries.filter(entry => first.has(entry));
+    return ends.map(end => keepOnly(end, chosen.filter(entry => entry.end === end)))
         .filter(({ suspects, cleared }) => suspects.length + cleared.length > 0);
 }
 
