--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -85,8 +85,10 @@
         this.record("deployment-ready", { hosts: this.hosts.map(({ name, host, service }) => ({ name, host, service })) });
     }
 
-    async addHost(host, { name, service, zone, target = {}, node: nodeOptions = {} }) {
+    /** `node` may change the options of the node; `beforeStart` is called before the node starts. */
+    async addHost(host, { name, service, zone, lagMs, target = {}, node = () => ({}), beforeStart }) {
         const { ports, store } = this;
+        await beforeStart?.(this);
         const server = new Target(store, {
             name,
             host,
@@ -102,11 +104,11 @@
                 }),
             ...target,
         });
-        await server.start();
-        const options = { name, host, zone, service, ports, store: { host: STORE_HOST, port: store.port }, ...nodeOptions };
-        const node = new Node(this.directory, options);
-        node.start();
-        const entry = { name, host, service, zone, target: server, node };
+        await server.start(lagMs);
+        const options = { name, host, zone, service, ports, store: { host: STORE_HOST, port: store.port }, ...node(ports) };
+        const process = new Node(this.directory, options);
+        process.start();
+        const entry = { name, host, service, zone, target: server, node: process };
         this.hosts.push(entry);
         return entry;
     }
@@ -114,6 +116,7 @@
     recordRun({ id, target, instance, service, path, headers }) {
         const run = {
             id,
+            atMs: performance.now(),
             target,
             instance,
             service,
@@ -123,7 +126,7 @@
             tenant: headers["radishrouter-tenant"],
         };
         this.runs.push(run);
-        this.record("target-runs", run);
+        this.record("target-runs", { ...run, atMs: undefined });
     }
 
     recordResult(result) {
--- a/review/lib/node.mjs
+++ b/review/lib/node.mjs
@@ -89,11 +89,17 @@
         ];
     }
 
+    /** Writes the settings file, as the platform does at each start and whenever the settings change. */
+    writeSettings() {
+        const settingsFile = join(this.directory, `${this.options.name}.conf`);
+        writeFileSync(settingsFile, `${this.settings().join("\n")}\n`);
+        return settingsFile;
+    }
+
     start() {
         mkdirSync(this.directory, { recursive: true });
         const { name } = this.options;
-        const settingsFile = join(this.directory, `${name}.conf`);
-        writeFileSync(settingsFile, `${this.settings().join("\n")}\n`);
+        const settingsFile = this.writeSettings();
         const log = openSync(join(this.directory, `${name}-${++this.starts}.log`), "w");
         const [program, ...words] = deployCommand();
         const { PATH, HOME, LANG } = process.env;
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -13,8 +13,6 @@
         this.revision = 1;
         this.era = 1;
         this.isAway = false;
-        /** Addresses of nodes whose calls get no response; a node is known by the local address that it calls from. */
-        this.silentFor = new Set();
         this.waiting = new Set();
     }
 
@@ -25,6 +23,14 @@
         await new Promise(resolve => this.server.listen(port, host, resolve));
     }
 
+    /** Serves what another store holds, in its place. */
+    takeOver(other) {
+        this.items = new Map(other.items);
+        this.history = [...other.history];
+        this.revision = other.revision;
+        this.era = other.era;
+    }
+
     put(key, value) {
         const text = typeof value === "string" ? value : JSON.stringify(value);
         const before = this.items.get(key);
@@ -55,11 +61,6 @@
         }
     }
 
-    /** Copy of all items, as a backup is taken. */
-    takeCopy() {
-        return { items: new Map(this.items), revision: this.revision };
-    }
-
     /** Goes away: open calls and new ones get no response. */
     leave() {
         this.isAway = true;
@@ -68,18 +69,6 @@
         this.server.closeAllConnections();
     }
 
-    /** Comes back, from an older copy where one is given. */
-    comeBack(copy) {
-        if (copy) {
-            this.items = new Map(copy.items);
-            this.revision = copy.revision;
-            this.history = [];
-            this.historyStart = copy.revision;
-            this.era++;
-        }
-        this.isAway = false;
-    }
-
     close() {
         this.leave();
         this.server.close();
@@ -115,7 +104,7 @@
     }
 
     watch(prefix, after, waitMs, response) {
-        if (after > this.revision || after < (this.historyStart ?? 0)) {
+        if (after > this.revision) {
             response.writeHead(410).end();
             return;
         }
--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -23,16 +23,13 @@
 export class Target {
     /**
      * `options.onRun(run)` is called when a request begins to run, `options.onRejected(request)` when one is rejected.
-     * `options.extraCopy(request, status)` says whether the target, being faulty, sends a response a second time, at the
-     * point where the next response on that connection is expected.
      */
     constructor(store, options) {
         this.store = store;
-        this.options = { workMs: 40, extraCopy: () => false, onRun: () => undefined, onRejected: () => undefined, ...options };
+        this.options = { workMs: 40, onRun: () => undefined, onRejected: () => undefined, ...options };
         this.starts = 0;
         this.sockets = new Set();
         this.answers = 0;
-        this.extraCopies = 0;
     }
 
     /** Starts the target as a new incarnation; it registers itself after the usual lag. */
@@ -54,6 +51,11 @@
         }, lagMs);
     }
 
+    /** Registers itself in another store from now on. */
+    useStore(store) {
+        this.store = store;
+    }
+
     entry(state) {
         const { service, host, port, zone, slots = 100 } = this.options;
         return {
@@ -103,10 +105,16 @@
     accept(socket) {
         this.sockets.add(socket);
         socket.setNoDelay(true);
-        const connection = { socket, input: Buffer.alloc(0), isBusy: false, lateCopies: [] };
+        const connection = { socket, chunks: [], input: Buffer.alloc(0), neededBytes: 0, isBusy: false };
+        let receivedBytes = 0;
         socket.on("data", chunk => {
-            connection.input = Buffer.concat([connection.input, chunk]);
-            this.read(connection);
+            connection.chunks.push(chunk);
+            receivedBytes += chunk.length;
+            if (connection.input.length + receivedBytes >= connection.neededBytes) {
+                connection.input = Buffer.concat([connection.input, ...connection.chunks.splice(0)]);
+                receivedBytes = 0;
+                this.read(connection);
+            }
         });
         socket.on("error", () => undefined);
         socket.on("close", () => this.sockets.delete(socket));
@@ -126,8 +134,10 @@
         const bodyStart = headEnd + 4;
         const bodyEnd = bodyStart + Number(headers["content-length"] ?? 0);
         if (connection.input.length < bodyEnd) {
+            connection.neededBytes = bodyEnd;
             return;
         }
+        connection.neededBytes = 0;
         const [method, path] = requestLine.split(" ");
         const body = connection.input.subarray(bodyStart, bodyEnd).toString("latin1");
         connection.input = connection.input.subarray(bodyEnd);
@@ -136,31 +146,23 @@
     }
 
     serve(connection, request) {
-        for (const copy of connection.lateCopies.splice(0)) {
-            connection.socket.write(copy);
-        }
         const expected = request.headers["radishrouter-expect-instance"];
         const base = { "Radishrouter-Attempt-Id": request.id ?? "" };
         if (expected !== undefined && expected !== this.id) {
             const headers = { ...base, "Radishrouter-Instance-Id": this.id, "Radishrouter-Not-Executed": "1" };
             this.options.onRejected({ ...request, instance: this.id, expected, service: this.options.service });
-            this.respond(connection, request, 421, headers, "");
+            this.respond(connection, 421, headers, "");
             return;
         }
         const { name, service } = this.options;
         this.options.onRun({ ...request, target: name, instance: this.id, service });
         const headers = { ...base, "Radishrouter-Response-Stamp": `stamp.${this.id}.${++this.answers}` };
-        setTimeout(() => this.respond(connection, request, 200, headers, `answer to ${request.id}`), this.options.workMs);
+        setTimeout(() => this.respond(connection, 200, headers, `answer to ${request.id}`), this.options.workMs);
     }
 
-    respond(connection, request, status, headers, body) {
-        const bytes = formatResponse(status, headers, body);
+    respond(connection, status, headers, body) {
         if (!connection.socket.destroyed) {
-            connection.socket.write(bytes);
-        }
-        if (this.options.extraCopy(request, status)) {
-            this.extraCopies++;
-            connection.lateCopies.push(bytes);
+            connection.socket.write(formatResponse(status, headers, body));
         }
         connection.isBusy = false;
         this.read(connection);
