--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -23,10 +23,11 @@
 export class Target {
     /**
      * `options.onRun(run)` is called when a request begins to run, `options.onRejected(request)` when one is rejected.
+     * `options.crashesOn(request)` says whether a request crashes the target, `options.onCrash(target)` has it crash.
      */
     constructor(store, options) {
         this.store = store;
-        this.options = { workMs: 40, onRun: () => undefined, onRejected: () => undefined, ...options };
+        this.options = { workMs: 40, crashesOn: () => false, onRun: () => undefined, onRejected: () => undefined, ...options };
         this.starts = 0;
         this.sockets = new Set();
         this.answers = 0;
@@ -156,10 +157,25 @@
         }
         const { name, service } = this.options;
         this.options.onRun({ ...request, target: name, instance: this.id, service });
+        if (this.options.crashesOn(request)) {
+            this.crashLater(this.id);
+            return;
+        }
         const headers = { ...base, "Radishrouter-Response-Stamp": `stamp.${this.id}.${++this.answers}` };
         setTimeout(() => this.respond(connection, 200, headers, `answer to ${request.id}`), this.options.workMs);
     }
 
+    /** Crashes soon, unless it has crashed before. */
+    crashLater(id) {
+        const { crashAfterMs, onCrash } = this.options;
+        setTimeout(() => {
+            if (this.id === id && this.crashedId !== id) {
+                this.crashedId = id;
+                onCrash(this);
+            }
+        }, crashAfterMs);
+    }
+
     respond(connection, status, headers, body) {
         if (!connection.socket.destroyed) {
             connection.socket.write(formatResponse(status, headers, body));
