--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -138,7 +138,9 @@
         return this.runs.filter(run => run.id === id);
     }
 
+    /** Ends all processes that were started, and writes the record. */
     async close() {
+        this.hosts.filter(({ node }) => !node.ended).forEach(({ node }) => node.signal("SIGCONT"));
         await Promise.all(this.hosts.map(({ node }) => node.kill()));
         await Promise.all(this.hosts.map(({ target }) => target.close().catch(() => undefined)));
         this.store?.close();
@@ -149,12 +151,25 @@
     }
 }
 
+/** Longest time of a case; one that takes longer counts as one that could not run. */
+const TIME_LIMIT_MS = 105_000;
+
+/** Rejects after the time limit, or when this process is to end. */
+function untilGivenUp() {
+    return new Promise((_, reject) => {
+        setTimeout(() => reject(new Error("the time limit of a case has passed")), TIME_LIMIT_MS).unref();
+        for (const name of ["SIGINT", "SIGTERM"]) {
+            process.once(name, () => reject(new Error(`ended by ${name}`)));
+        }
+    });
+}
+
 /** Runs a case; exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. */
 export async function runCase(recordFile, play) {
     const deployment = new Deployment(recordFile);
     let code = 2;
     try {
-        const problems = await play(deployment);
+        const problems = await Promise.race([play(deployment), untilGivenUp()]);
         problems.forEach(problem => deployment.record("rule-broken", { problem }));
         code = problems.length > 0 ? 1 : 0;
         process.stdout.write(code === 0 ? "the rule held\n" : `the rule was broken: ${problems.join("; ")}\n`);
