--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -79,7 +79,11 @@
         deployment.record("node-gets-sigterm", { node: first.name, cause: "its target has ended" });
     }
     const ended = await first.node.exited;
-    deployment.record("node-ended", { node: first.name, ...ended, afterMs: Math.round(performance.now() - stoppedAtMs) });
+    deployment.record("node-ended", {
+        node: first.name,
+        ...ended,
+        afterMs: Math.round(performance.now() - stoppedAtMs),
+    });
     await Promise.all(lodged);
     return findProblems(deployment);
 });
@@ -88,5 +92,7 @@
 function findProblems(deployment) {
     return deployment.results
         .filter(({ id, status }) => status === undefined && deployment.runsOf(id).length > 0)
-        .map(({ id, error }) => `LOST: ${id} ran at ${deployment.runsOf(id)[0].instance}, and its client got: ${error}`);
+        .map(({ id, error }) =>
+            `LOST: ${id} ran at ${deployment.runsOf(id)[0].instance}, and its client got: ${error}`
+        );
 }
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -63,7 +63,13 @@
             names.push(name);
         }
     }
-    return names.map(name => ({ Name: name, ApiKeys: [`key-of-${name}`], Priority: 1, RatePerS: RATE_PER_SECOND, Burst: BURST }));
+    return names.map(name => ({
+        Name: name,
+        ApiKeys: [`key-of-${name}`],
+        Priority: 1,
+        RatePerS: RATE_PER_SECOND,
+        Burst: BURST,
+    }));
 }
 
 const services = ["catalogue", "accessions", "reading", "items"];
@@ -90,10 +96,12 @@
     // Clients of the tenants that leave send to all machines but the one that is frozen.
     const mission = deployment.hosts
         .filter(entry => entry !== frozen)
-        .flatMap(entry => leaving.map(({ ApiKeys }, index) => {
-            const perSecond = (index === 0 ? HOT_FACTOR : 1) * USUAL_PER_SECOND / (HOSTS - 1);
-            return runMissionClient(deployment, entry, clients, ApiKeys[0], 1_000 / perSecond);
-        }));
+        .flatMap(entry =>
+            leaving.map(({ ApiKeys }, index) => {
+                const perSecond = (index === 0 ? HOT_FACTOR : 1) * USUAL_PER_SECOND / (HOSTS - 1);
+                return runMissionClient(deployment, entry, clients, ApiKeys[0], 1_000 / perSecond);
+            })
+        );
     await sleep(2_000);
     if (HAS_TROUBLE) {
         deployment.record("machine-frozen", { node: frozen.name });
@@ -123,7 +131,10 @@
         const joined = [];
         for (const old of leavers) {
             const index = deployment.hosts.length;
-            const entry = await deployment.addHost(`127.0.9.${index + 10}`, { ...specify(index), service: old.service });
+            const entry = await deployment.addHost(`127.0.9.${index + 10}`, {
+                ...specify(index),
+                service: old.service,
+            });
             deployment.record("target-joins", { target: entry.name, service: entry.service });
             joined.push(entry);
             replaced.push(replace(deployment, old, entry));
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -77,12 +77,18 @@
         for (const [index, specification] of specifications.entries()) {
             await this.addHost(`127.0.9.${index + 10}`, specification);
         }
-        await waitFor(async () => {
-            const states = await Promise.all(this.hosts.map(({ node }) => node.readiness()));
-            return states.every(status => status === 200);
-        }, 20_000, "all nodes are ready");
+        await waitFor(
+            async () => {
+                const states = await Promise.all(this.hosts.map(({ node }) => node.readiness()));
+                return states.every(status => status === 200);
+            },
+            20_000,
+            "all nodes are ready",
+        );
         await sleep(1_500);
-        this.record("deployment-ready", { hosts: this.hosts.map(({ name, host, service }) => ({ name, host, service })) });
+        this.record("deployment-ready", {
+            hosts: this.hosts.map(({ name, host, service }) => ({ name, host, service })),
+        });
     }
 
     /** `node` may change the options of the node; `beforeStart` is called before the node starts. */
@@ -105,7 +111,15 @@
             ...target,
         });
         await server.start(lagMs);
-        const options = { name, host, zone, service, ports, store: { host: STORE_HOST, port: store.port }, ...node(ports) };
+        const options = {
+            name,
+            host,
+            zone,
+            service,
+            ports,
+            store: { host: STORE_HOST, port: store.port },
+            ...node(ports),
+        };
         const process = new Node(this.directory, options);
         process.start();
         const entry = { name, host, service, zone, target: server, node: process };
@@ -131,7 +145,12 @@
 
     recordResult(result) {
         this.results.push(result);
-        this.record("client-answered", { id: result.id, status: result.status, error: result.error, body: result.body });
+        this.record("client-answered", {
+            id: result.id,
+            status: result.status,
+            error: result.error,
+            body: result.body,
+        });
     }
 
     runsOf(id) {
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -88,7 +88,12 @@
                 this.range(prefix, url.searchParams.get("after") ?? "", response);
                 return;
             case "/kv-watch":
-                this.watch(prefix, Number(url.searchParams.get("after")), Number(url.searchParams.get("WaitMs")), response);
+                this.watch(
+                    prefix,
+                    Number(url.searchParams.get("after")),
+                    Number(url.searchParams.get("WaitMs")),
+                    response,
+                );
                 return;
             default:
                 response.writeHead(404).end();
--- a/review/lib/target.mjs
+++ b/review/lib/target.mjs
@@ -27,7 +27,13 @@
      */
     constructor(store, options) {
         this.store = store;
-        this.options = { workMs: 40, crashesOn: () => false, onRun: () => undefined, onRejected: () => undefined, ...options };
+        this.options = {
+            workMs: 40,
+            crashesOn: () => false,
+            onRun: () => undefined,
+            onRejected: () => undefined,
+            ...options,
+        };
         this.starts = 0;
         this.sockets = new Set();
         this.answers = 0;
