--- a/packages/testbed/src/test/graceful-shutdown.test.ts
+++ b/packages/testbed/src/test/graceful-shutdown.test.ts
@@ -32,6 +32,24 @@
         await faults.waitForTokens(ENTRY);
     });
 
+    // Guards against a process that ends at the second signal, because its listener is gone after the first one.
+    test("of a node that gets further signals while it stops", async () => {
+        const { fleet } = faults;
+        const { node } = fleet.host(ENTRY);
+        node.signal("SIGHUP");
+        const pending = faults.book(ENTRY, "signalled", { url: `${fleet.callerUrl(ENTRY)}/front/book/2` });
+        const hasBegun = () => fleet.runRecords().some(run => run.requestId === "signalled") || !node.isRunning;
+        await waitFor(hasBegun, "the request runs");
+        (["SIGTERM", "SIGTERM", "SIGHUP", "SIGINT"] as const).forEach(signal => node.signal(signal));
+        const { result } = await pending;
+        assert.ok(result.kind === "answered" && result.status === 200, JSON.stringify(result));
+        await node.waitForExit();
+        assert.equal(node.exitCode, 0);
+        await fleet.restartNode(ENTRY);
+        await fleet.waitForConfiguration(ENTRY);
+        await faults.waitForTokens(ENTRY);
+    });
+
     test("of a node that runs requests forwarded by other nodes, and gets no new ones", async () => {
         const { fleet } = faults;
         const stopTraffic = faults.startTraffic({ hosts: [ENTRY], intervalMs: 10, prefix: "forwarded" });
