Keep tokens only for organisations of the active configuration

Cause: the request that asked still held the organisation of the older version, and taking its answer into account created the bucket again that the new version had deleted. Each change of the host list then raised a TypeError, and the 21st in a minute ends the process. Ruled out: that the removal misses a bucket.

Change: OrganisationQuota takes names and looks the organisation up in the active version; nobody else can create a bucket. A withdrawn organisation is refused as 1003, not told to come back; one whose limit was lifted meanwhile is admitted. What broker, holders and reserves remember goes with the organisation. The test of a rate that is lowered at once passed the lowered rate with each request; it passes the organisation now, as the rate is looked up.

--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -2,13 +2,14 @@
  * Requests tokens for organisations from other hosts when this host has none left.
  */
 import type { Clock } from "@radishrouter/core";
-import type { OrganisationQuota, TokenGrant } from "../process/organisation-quota.js";
-import type { Organisation } from "../version/mesh-configuration.js";
+import type { NamedOrganisation, OrganisationQuota, TokenGrant } from "../process/organisation-quota.js";
 
 /** Whether a request is within the rate of its organisation. */
 export type QuotaDecision =
     | { readonly kind: "within"; }
-    | { readonly kind: "over"; readonly retryAfterMs: number; };
+    | { readonly kind: "over"; readonly retryAfterMs: number; }
+    /** The organisation is not published any more. */
+    | { readonly kind: "withdrawn"; };
 
 /** Collaborators and settings of a broker. */
 export interface TokenBrokerDependencies {
@@ -52,6 +53,15 @@
     readonly durationMs: number;
 }
 
+/** What the searches for tokens of one organisation have shown. */
+interface SearchMemory {
+    backoff?: SearchBackoff | undefined;
+    /** What the holder that was asked last expected. */
+    expectation?: TokenExpectation;
+    /** Index, in the list of reachable token hosts, of the host that the next search begins with. */
+    nextHostIndex?: number;
+}
+
 const MAXIMUM_HOSTS_PER_SEARCH = 4;
 /** Searches that one request waits for. */
 const MAXIMUM_SEARCHES = 3;
@@ -69,11 +79,7 @@
 /** Decides whether requests are within the rate of their organisation, using tokens that other hosts can spare. */
 export class TokenBroker {
     private readonly searches = new Map<string, Search>();
-    private readonly backoffs = new Map<string, SearchBackoff>();
-    /** What the holder that was asked last expected, by organisation. */
-    private readonly expectations = new Map<string, TokenExpectation>();
-    /** Index, in the list of reachable token hosts, of the host that the next search begins with; by organisation. */
-    private readonly nextHostIndex = new Map<string, number>();
+    private readonly memories = new Map<string, SearchMemory>();
     private readonly random: () => number;
 
     private constructor(private readonly dependencies: TokenBrokerDependencies) {
@@ -84,8 +90,18 @@
         return new TokenBroker(dependencies);
     }
 
+    /** Forgets what was learned about organisations that are not published any more. */
+    forgetWithdrawn(): void {
+        const { quota } = this.dependencies;
+        for (const name of this.memories.keys()) {
+            if (!quota.isPublished({ name })) {
+                this.memories.delete(name);
+            }
+        }
+    }
+
     /** Takes a token for one request of an organisation. */
-    async take(organisation: Organisation): Promise<QuotaDecision> {
+    async take(organisation: NamedOrganisation): Promise<QuotaDecision> {
         const { quota } = this.dependencies;
         quota.recordDemand(organisation);
         if (quota.tryTake(organisation)) {
@@ -98,15 +114,31 @@
                 return { kind: "within" };
             }
         }
+        if (!quota.isPublished(organisation)) {
+            return { kind: "withdrawn" };
+        }
         return { kind: "over", retryAfterMs: this.retryAfterMs(organisation) };
     }
 
-    private maySearch({ name }: Organisation): boolean {
-        return this.dependencies.clock.nowMs() >= (this.backoffs.get(name)?.untilMs ?? 0);
+    private maySearch({ name }: NamedOrganisation): boolean {
+        const { clock, quota } = this.dependencies;
+        return quota.isPublished({ name }) && clock.nowMs() >= (this.memories.get(name)?.backoff?.untilMs ?? 0);
+    }
+
+    /** What is known of an organisation; what is written to it is not kept when that is not published any more. */
+    private memoryOf(name: string): SearchMemory {
+        let memory = this.memories.get(name);
+        if (!memory) {
+            memory = {};
+            if (this.dependencies.quota.isPublished({ name })) {
+                this.memories.set(name, memory);
+            }
+        }
+        return memory;
     }
 
     /** Joins the running search for tokens of an organisation, or starts one. */
-    private async search(organisation: Organisation): Promise<void> {
+    private async search(organisation: NamedOrganisation): Promise<void> {
         const { name } = organisation;
         let search = this.searches.get(name);
         if (!search) {
@@ -117,7 +149,7 @@
         await search.end;
     }
 
-    private async searchHosts(organisation: Organisation): Promise<void> {
+    private async searchHosts(organisation: NamedOrganisation): Promise<void> {
         const { name } = organisation;
         // Requests that arrive together share the search.
         await Promise.resolve();
@@ -127,7 +159,7 @@
     }
 
     /** Asks holders until enough tokens are granted; returns their number, or undefined if no holder answers. */
-    private async askHolders(organisation: Organisation): Promise<number | undefined> {
+    private async askHolders(organisation: NamedOrganisation): Promise<number | undefined> {
         const { quota, clock, requestTokens } = this.dependencies;
         const { name } = organisation;
         const hosts = this.hostsToSearch(organisation);
@@ -143,7 +175,7 @@
             }
             quota.receive(organisation, grant.granted);
             received = (received ?? 0) + grant.granted;
-            this.expectations.set(name, { waitMs: grant.nextTokenInMs, heardAtMs: clock.nowMs() });
+            this.memoryOf(name).expectation = { waitMs: grant.nextTokenInMs, heardAtMs: clock.nowMs() };
             if (received >= waiting) {
                 break;
             }
@@ -155,7 +187,7 @@
     }
 
     /** Takes tokens of a reserve, if this host generates none itself and no holder answers. */
-    private async askReserves(organisation: Organisation): Promise<number> {
+    private async askReserves(organisation: NamedOrganisation): Promise<number> {
         const { quota, localAddress, isReachable, requestTokens } = this.dependencies;
         if (quota.holdersOf(organisation).includesLocalHost) {
             return 0;
@@ -179,42 +211,44 @@
 
     /** After a search that found nothing, none is started for a while. */
     private recordSearch(name: string, hasFound: boolean): void {
+        const memory = this.memoryOf(name);
         if (hasFound) {
-            this.backoffs.delete(name);
+            memory.backoff = undefined;
             return;
         }
-        const previous = this.backoffs.get(name);
+        const previous = memory.backoff;
         const durationMs = previous ? Math.min(MAXIMUM_BACKOFF_MS, previous.durationMs * 2) : MINIMUM_BACKOFF_MS;
-        this.backoffs.set(name, { untilMs: this.dependencies.clock.nowMs() + durationMs, durationMs });
+        memory.backoff = { untilMs: this.dependencies.clock.nowMs() + durationMs, durationMs };
     }
 
     /** Reachable other hosts that generate tokens for an organisation. */
-    private reachableTokenHosts(organisation: Organisation): string[] {
+    private reachableTokenHosts(organisation: NamedOrganisation): string[] {
         const { quota, localAddress, isReachable } = this.dependencies;
         const { addresses } = quota.holdersOf(organisation);
         return addresses.filter(address => address !== localAddress && isReachable(address));
     }
 
-    private hostsToSearch(organisation: Organisation): string[] {
+    private hostsToSearch(organisation: NamedOrganisation): string[] {
         const reachable = this.reachableTokenHosts(organisation);
-        const start = (this.nextHostIndex.get(organisation.name) ?? Math.floor(this.random() * reachable.length)) %
-            Math.max(1, reachable.length);
+        const firstIndex = this.memories.get(organisation.name)?.nextHostIndex ??
+            Math.floor(this.random() * reachable.length);
+        const start = firstIndex % Math.max(1, reachable.length);
         return [...reachable.slice(start), ...reachable.slice(0, start)].slice(0, MAXIMUM_HOSTS_PER_SEARCH);
     }
 
     /** The next search begins with the host that granted tokens last, or after the last host that had none. */
-    private setNextHost(organisation: Organisation, lastHost: string, hasGranted: boolean): void {
+    private setNextHost(organisation: NamedOrganisation, lastHost: string, hasGranted: boolean): void {
         const index = this.reachableTokenHosts(organisation).indexOf(lastHost);
-        this.nextHostIndex.set(organisation.name, Math.max(0, index + (hasGranted ? 0 : 1)));
+        this.memoryOf(organisation.name).nextHostIndex = Math.max(0, index + (hasGranted ? 0 : 1));
     }
 
     /**
      * Time after which a retry may find a token, spread so that requests refused together are not retried together. If
      * demand far exceeds the tokens, early retries are refused again, so the time grows with the excess of demand.
      */
-    private retryAfterMs(organisation: Organisation): number {
+    private retryAfterMs(organisation: NamedOrganisation): number {
         const { quota, clock } = this.dependencies;
-        const expectation = this.expectations.get(organisation.name);
+        const expectation = this.memories.get(organisation.name)?.expectation;
         // Other callers take the tokens that come meanwhile, so the wait does not shrink as time passes.
         const isRecent = expectation && clock.nowMs() - expectation.heardAtMs < EXPECTATION_LIFETIME_MS;
         const atHoldersMs = isRecent ? expectation.waitMs * this.emptySearchFactor(organisation.name) : Infinity;
@@ -225,6 +259,6 @@
 
     /** Grows with each search in a row that found nothing, as holders do not hear of requests that are not searched for. */
     private emptySearchFactor(name: string): number {
-        return (this.backoffs.get(name)?.durationMs ?? MINIMUM_BACKOFF_MS) / MINIMUM_BACKOFF_MS;
+        return (this.memories.get(name)?.backoff?.durationMs ?? MINIMUM_BACKOFF_MS) / MINIMUM_BACKOFF_MS;
     }
 }
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -235,6 +235,7 @@
         this.version = IndexedConfiguration.create(configuration);
         this.updateSiblings(configuration);
         this.quota.setOrganisations(configuration.organisations ?? []);
+        this.broker.forgetWithdrawn();
         this.roundRobin.retain(new Set(configuration.routes.map(route => route.name)));
         if (this.callerServer) {
             applyIdleTimeout(this.callerServer, configuration.limits.idleTimeoutMs);
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -6,6 +6,9 @@
  * generates any, so the sum over all hosts stays within rate and burst by construction, even while hosts are
  * partitioned from each other. A host gives tokens that it does not need to a host that does; a token that is lost on
  * the way reduces capacity and never adds any.
+ *
+ * Only organisations of the active configuration have tokens, at the rate and burst that it names: requests and answers
+ * of other hosts may still name an organisation as an older version had it.
  */
 import type { Clock } from "@radishrouter/core";
 import { decayFactor } from "@radishrouter/core";
@@ -54,6 +57,10 @@
 /** Shortest time until a retry of a refused request; below it, refusals cost more than the tokens are worth. */
 const MINIMUM_WAIT_MS = 150;
 const NOTHING_GRANTED: TokenGrant = { granted: 0, nextTokenInMs: 0 };
+const NO_HOLDERS: QuotaHolders = { addresses: [], includesLocalHost: false };
+
+/** An organisation as any version of the configuration has it; its limits are looked up in the active one. */
+export type NamedOrganisation = Pick<Organisation, "name">;
 
 /** Token buckets of the organisations, each refilled with the fraction of the fleet's rate that this host generates. */
 export class OrganisationQuota {
@@ -102,9 +109,16 @@
                 this.buckets.delete(name);
             }
         }
+        this.selection.retain(this.organisations);
+        this.reserve.retain(this.organisations);
         this.recomputeShares();
     }
 
+    /** Whether an organisation is in the active configuration. */
+    isPublished({ name }: NamedOrganisation): boolean {
+        return this.organisations.has(name);
+    }
+
     /** Recomputes this host's shares after the host list has changed. */
     updateShares(): void {
         this.tokensDueSinceMs = this.clock.nowMs();
@@ -112,34 +126,45 @@
     }
 
     private recomputeShares(): void {
-        for (const [name, bucket] of this.buckets) {
-            this.updateShare(this.organisations.get(name)!, bucket);
+        for (const organisation of this.organisations.values()) {
+            const bucket = this.buckets.get(organisation.name);
+            if (bucket) {
+                this.updateShare(organisation, bucket);
+            }
         }
     }
 
     /** Hosts that generate tokens for an organisation. */
-    holdersOf(organisation: Organisation): QuotaHolders {
-        return this.selection.holdersOf(organisation);
+    holdersOf({ name }: NamedOrganisation): QuotaHolders {
+        const organisation = this.organisations.get(name);
+        return organisation ? this.selection.holdersOf(organisation) : NO_HOLDERS;
     }
 
     /** Hosts that have a reserve for an organisation whose holders cannot be reached, in the order to ask them. */
-    reservesOf(organisation: Organisation): readonly string[] {
-        return this.selection.reservesOf(organisation);
+    reservesOf({ name }: NamedOrganisation): readonly string[] {
+        const organisation = this.organisations.get(name);
+        return organisation ? this.selection.reservesOf(organisation) : [];
     }
 
     /** Counts a request towards the demand of its organisation at this host. */
-    recordDemand(organisation: Organisation): void {
-        const bucket = this.bucketOf(organisation);
-        this.decayDemand(bucket);
-        bucket.demandPerSecond += DEMAND_PER_REQUEST;
+    recordDemand({ name }: NamedOrganisation): void {
+        const bucket = this.bucketOf(name);
+        if (bucket) {
+            this.decayDemand(bucket);
+            bucket.demandPerSecond += DEMAND_PER_REQUEST;
+        }
     }
 
-    /** Takes a token for one request; returns false when this host has none. */
-    tryTake(organisation: Organisation): boolean {
-        if (organisation.ratePerSecond <= 0) {
+    /** Takes a token for one request; returns false when this host has none, or the organisation is not published. */
+    tryTake({ name }: NamedOrganisation): boolean {
+        const organisation = this.organisations.get(name);
+        if (organisation && organisation.ratePerSecond <= 0) {
             return true;
         }
-        const bucket = this.bucketOf(organisation);
+        const bucket = this.bucketOf(name);
+        if (!bucket) {
+            return false;
+        }
         this.refill(bucket);
         if (bucket.tokens < 1) {
             return false;
@@ -149,8 +174,11 @@
     }
 
     /** Number of tokens to request from another host while `waiting` requests need one now. */
-    wanted(organisation: Organisation, waiting: number): number {
-        const bucket = this.bucketOf(organisation);
+    wanted({ name }: NamedOrganisation, waiting: number): number {
+        const bucket = this.bucketOf(name);
+        if (!bucket) {
+            return 0;
+        }
         this.decayDemand(bucket);
         const expectedShortfall = (bucket.demandPerSecond - bucket.ratePerSecond) * REQUEST_HORIZON_MS / SECOND_MS;
         return Math.min(MAXIMUM_GRANT, Math.max(1, waiting, Math.ceil(expectedShortfall)));
@@ -158,11 +186,10 @@
 
     /** Grants tokens to another host, except those that local callers are expected to need soon. */
     grant(organisationName: string, wanted: number): TokenGrant {
-        const organisation = this.organisations.get(organisationName);
-        if (!organisation || !(wanted > 0)) {
+        const bucket = this.bucketOf(organisationName);
+        if (!bucket || !(wanted > 0)) {
             return NOTHING_GRANTED;
         }
-        const bucket = this.bucketOf(organisation);
         this.refill(bucket);
         this.decayDemand(bucket);
         bucket.askedPerSecond += Math.min(wanted, MAXIMUM_GRANT) * DEMAND_PER_REQUEST;
@@ -183,25 +210,27 @@
 
     /** Adds tokens that another host granted after the search for them had ended. */
     receiveLate(organisationName: string, tokens: number): void {
-        const organisation = this.organisations.get(organisationName);
-        if (organisation) {
-            this.receive(organisation, tokens);
-        }
+        this.receive({ name: organisationName }, tokens);
     }
 
-    /** Adds tokens that another host granted. */
-    receive(organisation: Organisation, tokens: number): void {
-        const bucket = this.bucketOf(organisation);
-        this.refill(bucket);
-        bucket.tokens += tokens;
+    /** Adds tokens that another host granted; those of an organisation that is not published any more are dropped. */
+    receive({ name }: NamedOrganisation, tokens: number): void {
+        const bucket = this.bucketOf(name);
+        if (bucket) {
+            this.refill(bucket);
+            bucket.tokens += tokens;
+        }
     }
 
     /**
      * Time until a further request is likely to find a token at this host; infinite if it generates none. If demand
      * exceeds the rate, the next tokens are taken by others, so the time grows with the excess.
      */
-    expectedWaitMs(organisation: Organisation): number {
-        const bucket = this.bucketOf(organisation);
+    expectedWaitMs({ name }: NamedOrganisation): number {
+        const bucket = this.bucketOf(name);
+        if (!bucket) {
+            return Infinity;
+        }
         this.refill(bucket);
         this.decayDemand(bucket);
         return this.nextTokenInMs(bucket);
@@ -219,9 +248,11 @@
         return Math.max(MINIMUM_WAIT_MS, missingMs) * Math.max(1, demandRatio);
     }
 
-    private bucketOf(organisation: Organisation): Bucket {
-        let bucket = this.buckets.get(organisation.name);
-        if (!bucket) {
+    /** Bucket of a published organisation; undefined of any other. */
+    private bucketOf(name: string): Bucket | undefined {
+        const organisation = this.organisations.get(name);
+        let bucket = this.buckets.get(name);
+        if (!bucket && organisation) {
             // Starts empty, because the process that ran here before, or another holder, may have used the share.
             bucket = {
                 tokens: 0,
@@ -235,7 +266,7 @@
                 demandUpdatedAtMs: this.clock.nowMs(),
             };
             this.setShare(organisation, bucket);
-            this.buckets.set(organisation.name, bucket);
+            this.buckets.set(name, bucket);
         }
         return bucket;
     }
--- a/packages/mesh/src/process/quota-holders.ts
+++ b/packages/mesh/src/process/quota-holders.ts
@@ -42,6 +42,15 @@
         return new QuotaHolderSelection(localAddress, hosts);
     }
 
+    /** Forgets the holders of organisations that are not among those given. */
+    retain(organisations: ReadonlyMap<string, Organisation>): void {
+        for (const name of this.selections.keys()) {
+            if (!organisations.has(name)) {
+                this.selections.delete(name);
+            }
+        }
+    }
+
     /** Hosts that generate tokens for an organisation. */
     holdersOf(organisation: Organisation): QuotaHolders {
         this.followHosts();
--- a/packages/mesh/src/process/quota-reserve.ts
+++ b/packages/mesh/src/process/quota-reserve.ts
@@ -35,6 +35,15 @@
         return new QuotaReserve(clock, tolerance);
     }
 
+    /** Forgets the tokens of organisations that are not among those given. */
+    retain(organisations: ReadonlyMap<string, Organisation>): void {
+        for (const name of this.buckets.keys()) {
+            if (!organisations.has(name)) {
+                this.buckets.delete(name);
+            }
+        }
+    }
+
     /** Takes up to `wanted` tokens; returns how many there were. */
     take(organisation: Organisation, wanted: number): number {
         const bucket = this.bucketOf(organisation);
--- a/packages/mesh/src/request/request-admission.ts
+++ b/packages/mesh/src/request/request-admission.ts
@@ -139,11 +139,18 @@
 
     private async enforceRate(organisation: Organisation): Promise<void> {
         const decision = await this.dependencies.broker.take(organisation);
-        if (decision.kind === "over") {
-            throw RequestError.create("rate-exceeded", {
-                detail: `${organisation.name} is over its rate`,
-                retryAfterMs: decision.retryAfterMs,
-            });
+        switch (decision.kind) {
+            case "within":
+                return;
+            case "over":
+                throw RequestError.create("rate-exceeded", {
+                    detail: `${organisation.name} is over its rate`,
+                    retryAfterMs: decision.retryAfterMs,
+                });
+            case "withdrawn":
+                throw RequestError.create("key-invalid", {
+                    detail: `${organisation.name} was withdrawn while its tokens were asked for`,
+                });
         }
     }
 }
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -258,3 +258,60 @@
         assert.ok(refusalsPerRequest <= 4, `${refusalsPerRequest} refusals for each request`);
     });
 }
+
+// Guards against a bucket that is brought back by an answer that arrives after its organisation was withdrawn: each change of
+// the host list raised an error from then on.
+test("tokens that arrive after their organisation was withdrawn bring nothing back", () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation();
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1"].map(toFleetHost), 1_000);
+    quota.setOrganisations([organisation]);
+    quota.recordDemand(organisation);
+    quota.setOrganisations([]);
+    quota.recordDemand(organisation);
+    quota.wanted(organisation, 3);
+    quota.receive(organisation, 5);
+    quota.receiveLate(organisation.name, 5);
+    assert.equal(quota.tryTake(organisation), false);
+    assert.equal(quota.expectedWaitMs(organisation), Infinity);
+    quota.updateShares();
+    quota.setOrganisations([organisation]);
+    assert.equal(quota.tryTake(organisation), false, "the tokens of before are gone");
+});
+
+/** Asks a holder that answers when it is told to, while `whileAsked` runs. */
+async function takeWhileAsked(
+    organisation: ReturnType<typeof createOrganisation>,
+    whileAsked: (quota: OrganisationQuota) => void,
+): Promise<{ readonly quota: OrganisationQuota; readonly decision: Awaited<ReturnType<TokenBroker["take"]>>; }> {
+    const clock = ManualClock.create();
+    const hosts = ["10.0.0.1", "10.0.0.2"].map(toFleetHost);
+    const [asking] = createPair(clock, organisation, () => hosts);
+    const broker = TokenBroker.create({
+        clock,
+        quota: asking.quota,
+        localAddress: asking.address,
+        isReachable: () => true,
+        requestTokens: async () => {
+            whileAsked(asking.quota);
+            return { granted: 0, nextTokenInMs: 200 };
+        },
+    });
+    return { quota: asking.quota, decision: await broker.take(organisation) };
+}
+
+test("a request whose organisation is withdrawn while its tokens are asked for is not told to come back", async () => {
+    const organisation = createOrganisation({ burst: 8 });
+    const { quota, decision } = await takeWhileAsked(organisation, quota => quota.setOrganisations([]));
+    assert.deepEqual(decision, { kind: "withdrawn" });
+    quota.updateShares();
+});
+
+test("a request whose organisation loses its limit while its tokens are asked for is within it", async () => {
+    const organisation = createOrganisation({ burst: 8 });
+    const { decision } = await takeWhileAsked(
+        organisation,
+        quota => quota.setOrganisations([createOrganisation({ ratePerSecond: 0, burst: 0 })]),
+    );
+    assert.deepEqual(decision, { kind: "within" });
+});
--- a/packages/mesh/src/test/phased-limit.test.ts
+++ b/packages/mesh/src/test/phased-limit.test.ts
@@ -76,7 +76,7 @@
     quota.setOrganisations([{ ...organisation, ratePerSecond: 5, burst: 5 }]);
     let served = 0;
     for (let request = 0; request < 1_000; request++) {
-        served += quota.tryTake({ ...organisation, ratePerSecond: 5, burst: 5 }) ? 1 : 0;
+        served += quota.tryTake(organisation) ? 1 : 0;
         clock.advance(1);
     }
     assert.ok(served <= 10, `${served} requests in a second at a rate of 5`);
