Count the tokens of an organisation that returns from its withdrawal on

What callers saw: an organisation that a version withdraws and a later one brings back had its whole burst again each time: 200 requests admitted in 2 s at a rate of 10 and a burst of 10 (new test, 20 returns; 30 allowed).

Cause: the new bucket counted tokens from the last change of the host list on, as if nothing had been taken since.

Change: withdrawals are remembered for a minute, and tokens are due from the withdrawal on.

--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -54,6 +54,8 @@
 /** A host requests the tokens that its local callers are expected to need in this time. */
 const REQUEST_HORIZON_MS = 300;
 const MAXIMUM_GRANT = 64;
+/** Time for which a withdrawal is remembered; after it, an organisation that returns gets its burst at once. */
+const WITHDRAWAL_MEMORY_MS = 60_000;
 /** Shortest time until a retry of a refused request; below it, refusals cost more than the tokens are worth. */
 const MINIMUM_WAIT_MS = 150;
 const NOTHING_GRANTED: TokenGrant = { granted: 0, nextTokenInMs: 0 };
@@ -68,6 +70,8 @@
     private readonly selection: QuotaHolderSelection;
     private readonly reserve: QuotaReserve;
     private organisations = new Map<string, Organisation>();
+    /** Times at which organisations were withdrawn a short time ago, by name. */
+    private readonly withdrawnAtMs = new Map<string, number>();
     /**
      * Time since which tokens are due that this host has not generated yet: another process or host may have generated
      * those before, until this process started or the host list changed last.
@@ -103,7 +107,9 @@
 
     /** Replaces the organisations with the published ones. */
     setOrganisations(organisations: readonly Organisation[]): void {
+        const before = this.organisations;
         this.organisations = new Map(organisations.map(organisation => [organisation.name, organisation]));
+        this.recordWithdrawals(before);
         for (const name of this.buckets.keys()) {
             if (!this.organisations.has(name)) {
                 this.buckets.delete(name);
@@ -114,6 +120,20 @@
         this.recomputeShares();
     }
 
+    private recordWithdrawals(before: ReadonlyMap<string, Organisation>): void {
+        const nowMs = this.clock.nowMs();
+        for (const [name, atMs] of this.withdrawnAtMs) {
+            if (nowMs - atMs > WITHDRAWAL_MEMORY_MS) {
+                this.withdrawnAtMs.delete(name);
+            }
+        }
+        for (const name of before.keys()) {
+            if (!this.organisations.has(name)) {
+                this.withdrawnAtMs.set(name, nowMs);
+            }
+        }
+    }
+
     /** Whether an organisation is in the active configuration. */
     isPublished({ name }: NamedOrganisation): boolean {
         return this.organisations.has(name);
@@ -253,10 +273,11 @@
         const organisation = this.organisations.get(name);
         let bucket = this.buckets.get(name);
         if (!bucket && organisation) {
-            // Starts empty, because the process that ran here before, or another holder, may have used the share.
+            // Starts empty, because the process that ran here before, another holder, or the organisation before it was
+            // withdrawn may have used the share.
             bucket = {
                 tokens: 0,
-                refilledAtMs: this.tokensDueSinceMs,
+                refilledAtMs: Math.max(this.tokensDueSinceMs, this.withdrawnAtMs.get(name) ?? -Infinity),
                 fleetRate: PhasedLimit.create(this.clock, this.rateReductionMs, organisation.ratePerSecond),
                 fleetBurst: PhasedLimit.create(this.clock, this.rateReductionMs, organisation.burst),
                 fraction: 0,
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -315,3 +315,22 @@
     );
     assert.deepEqual(decision, { kind: "within" });
 });
+
+test("an organisation that is withdrawn and published again does not get its burst again", () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation({ ratePerSecond: 10, burst: 10 });
+    const quota = OrganisationQuota.create(clock, "10.0.0.1", () => ["10.0.0.1"].map(toFleetHost), 1_000);
+    quota.setOrganisations([organisation]);
+    clock.advance(60_000);
+    let admitted = 0;
+    for (let version = 0; version < 20; version++) {
+        while (quota.tryTake(organisation)) {
+            admitted++;
+        }
+        quota.setOrganisations([]);
+        clock.advance(50);
+        quota.setOrganisations([organisation]);
+        clock.advance(50);
+    }
+    assert.ok(admitted <= 10 + 20, `${admitted} admitted in 2 s at 10 a second and a burst of 10`);
+});
