Let each component follow changes of servers on its own

Change: server-change-followers hands each change to each component and logs one that fails as server-change-not-applied; the order stays.

--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -40,11 +40,12 @@
 import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
 import { QuotaHosts } from "./quota-hosts.js";
 import { RequestLog } from "./request-log.js";
+import { followServerChanges } from "./server-change-followers.js";
 import type { ServerCondition } from "./server-condition.js";
 import { ServerDirectory } from "./server-directory.js";
 import type { BackendServer, DirectoryChange } from "./server-directory.js";
 import { ServerGate } from "./server-gate.js";
-import { ServiceRetryBudget } from "./service-retry-budget.js";
+import { ServiceRetryBudgets } from "./service-retry-budgets.js";
 import { StateFollower } from "./state-follower.js";
 import { UpdateSourceSelector } from "./update-source-selector.js";
 
@@ -72,7 +73,7 @@
     private readonly crashing: CrashingRequests;
     private readonly quota: OrganisationQuota;
     private readonly quotaHosts: QuotaHosts;
-    private readonly retryBudgets = new Map<string, ServiceRetryBudget>();
+    private readonly retryBudgets: ServiceRetryBudgets;
     private readonly metrics: MeshMetrics;
     private readonly usageCounters = OrganisationUsageCounters.create();
     private readonly startedAt = new Date().toISOString();
@@ -100,6 +101,7 @@
             { address: settings.hostAddress, failureDomain: settings.failureDomain },
             () => this.directory.fleetHosts,
         );
+        this.retryBudgets = ServiceRetryBudgets.create(settings.retryBudgetLimits, this.fleet);
         this.gate = ServerGate.create(clock);
         this.localServer = LocalServerState.create({
             clock,
@@ -173,7 +175,7 @@
         const { settings, log } = this;
         log.event("process-started", { process: process.pid, service: settings.service });
         this.crashing.exchange.startWaitingForOthers();
-        this.directory.events.on("changed", change => this.onServerChange(change));
+        this.followServerChanges();
         this.health.events.on("changed", ({ address, trouble }) => {
             log.event(trouble === undefined ? "peer-regained" : "peer-lost", { peer: address, trouble });
             if (trouble === undefined) {
@@ -286,18 +288,6 @@
             this.lease.isValid();
     }
 
-    private retryBudgetOf(service: string): ServiceRetryBudget {
-        let retryBudget = this.retryBudgets.get(service);
-        if (!retryBudget) {
-            retryBudget = ServiceRetryBudget.create(this.settings.retryBudgetLimits, {
-                nodeCount: () => this.fleet.hosts.length,
-                position: () => this.fleet.positionOf(service),
-            });
-            this.retryBudgets.set(service, retryBudget);
-        }
-        return retryBudget;
-    }
-
     private createServerClient(): ServerClient {
         const { settings, clock, backlog, gate } = this;
         return ServerClient.create({
@@ -422,35 +412,60 @@
                 onwardPressure: this.onwardPressure,
                 crashing: this.crashing,
                 throttle: this.throttle,
-                retryBudgetOf: service => this.retryBudgetOf(service),
+                retryBudgetOf: service => this.retryBudgets.of(service),
                 localRateShare: () => this.gate.rateShare(),
                 isLocalServerDraining: () => this.localServer.isDraining,
             },
         };
     }
 
-    private onServerChange(change: DirectoryChange): void {
-        this.askForQuarantineOnce();
-        const { server, kind, cause, maximumAgeMs } = change;
-        this.log.event(`server-${kind}`, { instance: server.instance, service: server.service, cause });
+    private followServerChanges(): void {
+        const { directory, log, crashing, quota } = this;
+        followServerChanges(directory, log, [
+            { name: "quarantine", apply: () => this.askForQuarantineOnce() },
+            {
+                name: "log",
+                apply: ({ server: { instance, service }, kind, cause }) =>
+                    log.event(`server-${kind}`, { instance, service, cause }),
+            },
+            { name: "departures", apply: change => this.forgetHostThatLeft(change) },
+            {
+                name: "unlisted-hosts",
+                apply: ({ kind, server }) => {
+                    if (kind === "left") {
+                        crashing.exchange.recordUnlisted(server.service, server.hostAddress);
+                    }
+                },
+            },
+            {
+                name: "quota",
+                apply: ({ kind }) => {
+                    if (kind === "left" || kind === "joined") {
+                        quota.updateShares();
+                    }
+                },
+            },
+            { name: "local-server", apply: change => this.updateLocalServer(change) },
+        ]);
+    }
+
+    private updateLocalServer({ server, maximumAgeMs }: DirectoryChange): void {
+        if (server.hostAddress !== this.settings.hostAddress) {
+            return;
+        }
+        const { address, port } = this.settings.backendServer;
+        const localServer = this.directory.findByAddress(address, port);
+        this.localServer.apply(localServer, maximumAgeMs);
+        if (localServer) {
+            this.server.recordInstance(localServer);
+        }
+    }
+
+    private forgetHostThatLeft({ kind, server }: DirectoryChange): void {
         if (kind === "left" && !this.directory.hasHost(server.hostAddress)) {
             this.balancer.remove(server.hostAddress);
             this.recordHostLeft(server);
         }
-        if (kind === "left") {
-            this.crashing.exchange.recordUnlisted(server.service, server.hostAddress);
-        }
-        if (kind === "left" || kind === "joined") {
-            this.quota.updateShares();
-        }
-        if (server.hostAddress === this.settings.hostAddress) {
-            const { address, port } = this.settings.backendServer;
-            const localServer = this.directory.findByAddress(address, port);
-            this.localServer.apply(localServer, maximumAgeMs);
-            if (localServer) {
-                this.server.recordInstance(localServer);
-            }
-        }
     }
 
     private recordHostLeft({ hostAddress, failureDomain, state }: BackendServer): void {
