Send the last outcomes to other nodes before a stop closes their links

What callers saw: 502 for the last request that another host had forwarded to a node that stops, although it ran and was answered.

Cause: the outcome is written on the next tick, but the end of the last request lets the stop go on in the microtasks before it, and the stop destroyed the links; an answer larger than a connection's buffers was cut off besides.

Change: a link sends what is pending, ends its side, and waits for the other end, 0.3 s at most after its output has left, since unread input would reset the connection when the process ends. All within the time limit of the stop.

--- a/packages/mesh/src/connection/message-socket.ts
+++ b/packages/mesh/src/connection/message-socket.ts
@@ -12,6 +12,9 @@
  */
 const MAXIMUM_UNSENT_BYTES = 96 * 1024 * 1024;
 
+/** Time after the last output has left this process in which the other end closes its end of the connection. */
+const CLOSE_WAIT_MS = 300;
+
 /** Callbacks of a message socket. */
 export interface MessageListener {
     readonly onMessage: (message: LinkMessage) => void;
@@ -28,6 +31,7 @@
     private readonly unpacker = new Unpackr({ structures: [] });
     /** Frames to be written on the next tick. */
     private pendingFrames: Buffer[] = [];
+    private isClosing = false;
 
     private constructor(private readonly socket: Socket, private readonly listener: MessageListener) {
         socket.setNoDelay(true);
@@ -74,12 +78,32 @@
         this.socket.resetAndDestroy();
     }
 
-    /** Closes the connection at once. */
+    /**
+     * Sends what is pending and closes the connection, with nothing more received; resolves when the other end has closed
+     * it too or had time to. Input that is not read when a process ends would reset the connection and drop its output.
+     */
+    async close(): Promise<void> {
+        const { socket } = this;
+        if (socket.destroyed) {
+            return;
+        }
+        this.isClosing = true;
+        this.flush();
+        await new Promise<void>(resolve => {
+            socket.once("close", () => resolve());
+            socket.end(() => setTimeout(() => socket.destroy(), CLOSE_WAIT_MS));
+        });
+    }
+
+    /** Closes the connection at once; output that is pending is dropped. */
     destroy(): void {
         this.socket.destroy();
     }
 
     private flush(): void {
+        if (this.pendingFrames.length === 0) {
+            return;
+        }
         const frames = Buffer.concat(this.pendingFrames);
         this.pendingFrames = [];
         if (!this.socket.destroyed) {
@@ -88,6 +112,9 @@
     }
 
     private decode(payload: Buffer): void {
+        if (this.isClosing) {
+            return;
+        }
         const messages = this.unpacker.unpackMultiple(payload) as LinkMessage[];
         messages.forEach(message => this.listener.onMessage(message));
     }
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -85,9 +85,9 @@
         this.links.forEach(link => link.sendState());
     }
 
-    /** Closes all connections. */
-    closeLinks(): void {
-        this.links.forEach(link => link.destroy());
+    /** Sends what is pending and closes all connections; resolves when they are closed. */
+    async closeLinks(): Promise<void> {
+        await Promise.all([...this.links].map(link => link.close()));
     }
 }
 
@@ -123,8 +123,8 @@
         this.messages.send({ kind: "state", state: this.state() });
     }
 
-    destroy(): void {
-        this.messages.destroy();
+    close(): Promise<void> {
+        return this.messages.close();
     }
 
     private receive(message: LinkMessage): void {
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -271,7 +271,7 @@
         await Promise.race([limit, lifeCycle.whenIdle()]);
         this.follower?.close();
         this.listeners.closeConnections();
-        this.peerServer.closeLinks();
+        await Promise.race([limit, this.peerServer.closeLinks()]);
         this.peers.close();
         await this.server.close();
         log.event("process-stopped", { open: lifeCycle.open, tookMs: Math.round(clock.nowMs() - stoppedAtMs) });
