End a damaged process, and one whose stop fails, in order

Cause: the error guard's decision called process.exit, and a rejected stop was one more unhandled error. Change: orderly-exit begins the stop once, whatever asks for it, exits when that is through, and at the latest after the time that the platform grants; a stop that fails or hangs is logged as stop-failed.

The 21 errors were not played at a real process.

--- a/packages/mesh/src/index.ts
+++ b/packages/mesh/src/index.ts
@@ -23,6 +23,7 @@
 export * from "./process/mesh-metrics.js";
 export * from "./process/mesh-node-settings.js";
 export * from "./process/mesh-node.js";
+export * from "./process/orderly-exit.js";
 export * from "./process/organisation-quota.js";
 export * from "./process/organisation-usage-counters.js";
 export * from "./process/peer-health.js";
--- a/packages/mesh/src/process/unexpected-error-guard.ts
+++ b/packages/mesh/src/process/unexpected-error-guard.ts
@@ -2,7 +2,7 @@
  * Decides whether a process goes on after an error that no code handled.
  *
  * One such error concerns one request or connection, and ending the process would cut off all others. Many in a short
- * time show that the process itself is damaged, so that it ends and is started again.
+ * time show that the process itself is damaged, so that it ends, with its requests answered, and is started again.
  */
 import type { Clock } from "@radishrouter/core";
 import type { RequestLog } from "./request-log.js";
