Let a host that joins wait for the holder of tokens that it replaces

Cause: the old holder cannot learn of the join and goes on until its key lease ends; the new one began at once. Ruled out: the reserves, which are bounded by half of the tolerance.

A host whose server is new asks the host that it replaces whether it still generates, and begins when that says no or when the lease must have ended. Answers to questions for tokens carry it; others use reserves meanwhile. The wiring of the quotas moves from mesh-node into node-quota.

--- a/packages/mesh/src/connection/link-message.ts
+++ b/packages/mesh/src/connection/link-message.ts
@@ -92,6 +92,8 @@
         readonly granted: number;
         /** Time after which the sender expects to have a token for a further request. */
         readonly nextTokenInMs: number;
+        /** Whether the sender generates tokens of the organisation; undefined from nodes that do not say. */
+        readonly isGenerating?: boolean;
     }
     | {
         readonly kind: "ask-state";
--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -170,7 +170,8 @@
             const waiting = this.waitingFor(name);
             const wanted = quota.wanted(organisation, waiting) - (received ?? 0);
             const grant = await requestTokens(address, { organisation: name, wanted, isReserve: false });
-            if (!grant) {
+            // A host that waits for its handover has no tokens to give, as one that gives no answer.
+            if (!grant || grant.isGenerating === false) {
                 continue;
             }
             quota.receive(organisation, grant.granted);
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -13,7 +13,6 @@
 import { ServerClient } from "../connection/server-client.js";
 import { StateAnswers } from "../connection/state-answers.js";
 import { createMetricsServer, createReadinessServer } from "../connection/status-server.js";
-import { TokenBroker } from "../connection/token-broker.js";
 import { RequestAdmission } from "../request/request-admission.js";
 import { ConfigurationLease } from "../version/configuration-lease.js";
 import { IndexedConfiguration } from "../version/indexed-configuration.js";
@@ -32,18 +31,17 @@
 import { LEAVING_USE_FRACTION, LocalServerState } from "./local-server-state.js";
 import { MeshMetrics } from "./mesh-metrics.js";
 import type { MeshNodeSettings } from "./mesh-node-settings.js";
-import { OrganisationQuota } from "./organisation-quota.js";
+import { NodeQuota } from "./node-quota.js";
 import { OrganisationUsageCounters } from "./organisation-usage-counters.js";
 import { PeerHealth } from "./peer-health.js";
 import { ProcessOverloadGuard } from "./process-overload-guard.js";
 import { PublishedItemApplier } from "./published-item-applier.js";
 import type { DecodedConfiguration, PublishedItemDecoder, PublishedStateReader } from "./published-state-reader.js";
-import { QuotaHosts } from "./quota-hosts.js";
 import { RequestLog } from "./request-log.js";
 import { followServerChanges } from "./server-change-followers.js";
 import type { ServerCondition } from "./server-condition.js";
 import { ServerDirectory } from "./server-directory.js";
-import type { BackendServer, DirectoryChange } from "./server-directory.js";
+import type { DirectoryChange } from "./server-directory.js";
 import { ServerGate } from "./server-gate.js";
 import { ServiceRetryBudgets } from "./service-retry-budgets.js";
 import { StateFollower } from "./state-follower.js";
@@ -71,8 +69,7 @@
     private readonly overloadGuard: ProcessOverloadGuard;
     private readonly backlog: BacklogMonitor;
     private readonly crashing: CrashingRequests;
-    private readonly quota: OrganisationQuota;
-    private readonly quotaHosts: QuotaHosts;
+    private readonly quota: NodeQuota;
     private readonly retryBudgets: ServiceRetryBudgets;
     private readonly metrics: MeshMetrics;
     private readonly usageCounters = OrganisationUsageCounters.create();
@@ -80,7 +77,6 @@
     private readonly server: ServerClient;
     private readonly peers: PeerClient;
     private readonly peerServer: PeerServer;
-    private readonly broker: TokenBroker;
     private readonly state = PublishedState.create();
     private readonly bodyBudget = BodyBudget.create();
     private follower: StateFollower | undefined;
@@ -116,18 +112,6 @@
         this.overloadGuard = ProcessOverloadGuard.create(clock);
         this.backlog = BacklogMonitor.create(clock);
         this.balancer = LoadBalancer.create(clock);
-        this.quotaHosts = QuotaHosts.create(
-            clock,
-            () => this.directory.fleetHosts,
-            () => this.quota.updateShares(),
-        );
-        this.quota = OrganisationQuota.create(
-            clock,
-            settings.hostAddress,
-            () => this.quotaHosts.hosts,
-            settings.rateReductionMs,
-            settings.quotaTolerance,
-        );
         this.crashing = this.createCrashingRequests();
         this.metrics = MeshMetrics.create({
             crashes: () => ({ ...this.crashing.counts, suspects: this.crashing.suspectCount }),
@@ -149,16 +133,17 @@
                 this.log.decision("peer-doubtful", { peer: address });
                 this.balancer.doubt(address);
             },
-            onLateTokens: (organisation, granted) => this.quota.receiveLate(organisation, granted),
+            onLateTokens: (organisation, granted) => this.quota.quota.receiveLate(organisation, granted),
         });
-        this.peerServer = this.createPeerServer();
-        this.broker = TokenBroker.create({
+        this.quota = NodeQuota.create({
             clock,
-            quota: this.quota,
-            localAddress: settings.hostAddress,
+            log: this.log,
+            directory: this.directory,
+            settings,
             isReachable: address => this.health.isUsable(address),
             requestTokens: (address, request) => this.peers.requestTokens(address, request),
         });
+        this.peerServer = this.createPeerServer();
     }
 
     static create(settings: MeshNodeSettings, clock: Clock = SystemClock.create()): MeshNode {
@@ -236,8 +221,7 @@
         }
         this.version = IndexedConfiguration.create(configuration);
         this.updateSiblings(configuration);
-        this.quota.setOrganisations(configuration.organisations ?? []);
-        this.broker.forgetWithdrawn();
+        this.quota.setOrganisations(configuration);
         this.roundRobin.retain(new Set(configuration.routes.map(route => route.name)));
         if (this.callerServer) {
             applyIdleTimeout(this.callerServer, configuration.limits.idleTimeoutMs);
@@ -324,7 +308,7 @@
     }
 
     private createPeerServer(): PeerServer {
-        const { clock, backlog, server, gate, quota, onwardPressure, lifeCycle, log, state, lease } = this;
+        const { clock, backlog, server, gate, onwardPressure, lifeCycle, log, state, lease } = this;
         const stateAnswers = StateAnswers.create({
             clock,
             state,
@@ -337,7 +321,7 @@
             backlog,
             server,
             gate,
-            quota,
+            quota: this.quota.quota,
             onwardPressure,
             stateAnswers,
             bodyBudget: this.bodyBudget,
@@ -384,7 +368,7 @@
             lease,
             admission: RequestAdmission.create({
                 lease,
-                broker: this.broker,
+                broker: this.quota.broker,
                 overloadGuard: this.overloadGuard,
                 throttle: this.throttle,
                 roundRobin: this.roundRobin,
@@ -437,14 +421,7 @@
                     }
                 },
             },
-            {
-                name: "quota",
-                apply: ({ kind }) => {
-                    if (kind === "left" || kind === "joined") {
-                        quota.updateShares();
-                    }
-                },
-            },
+            { name: "quota", apply: change => quota.applyServerChange(change) },
             { name: "local-server", apply: change => this.updateLocalServer(change) },
         ]);
     }
@@ -464,13 +441,6 @@
     private forgetHostThatLeft({ kind, server }: DirectoryChange): void {
         if (kind === "left" && !this.directory.hasHost(server.hostAddress)) {
             this.balancer.remove(server.hostAddress);
-            this.recordHostLeft(server);
-        }
-    }
-
-    private recordHostLeft({ hostAddress, failureDomain, state }: BackendServer): void {
-        if (state === "ready") {
-            this.quotaHosts.recordSilent({ address: hostAddress, failureDomain });
         }
     }
 
--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -43,6 +43,13 @@
     readonly granted: number;
     /** Time after which the host expects to have a token for a further request; 0 if it has one. */
     readonly nextTokenInMs: number;
+    /** Whether the host generates tokens of the organisation; undefined from nodes that do not say. */
+    readonly isGenerating?: boolean;
+}
+
+/** Whether a host that has joined has to wait before it generates the tokens of an organisation. */
+export interface HandoverState {
+    isPending(organisation: string): boolean;
 }
 
 const SECOND_MS = 1000;
@@ -58,7 +65,8 @@
 const WITHDRAWAL_MEMORY_MS = 60_000;
 /** Shortest time until a retry of a refused request; below it, refusals cost more than the tokens are worth. */
 const MINIMUM_WAIT_MS = 150;
-const NOTHING_GRANTED: TokenGrant = { granted: 0, nextTokenInMs: 0 };
+const NOTHING_GRANTED: TokenGrant = { granted: 0, nextTokenInMs: 0, isGenerating: false };
+const NOTHING_TO_HAND_OVER: HandoverState = { isPending: () => false };
 const NO_HOLDERS: QuotaHolders = { addresses: [], includesLocalHost: false };
 
 /** An organisation as any version of the configuration has it; its limits are looked up in the active one. */
@@ -84,6 +92,7 @@
         hosts: () => readonly FleetHost[],
         private readonly rateReductionMs: number,
         tolerance: QuotaTolerance | undefined,
+        private readonly handover: HandoverState,
     ) {
         this.tokensDueSinceMs = clock.nowMs();
         this.selection = QuotaHolderSelection.create(localAddress, hosts);
@@ -101,8 +110,9 @@
         hosts: () => readonly FleetHost[],
         rateReductionMs: number,
         tolerance?: QuotaTolerance,
+        handover: HandoverState = NOTHING_TO_HAND_OVER,
     ): OrganisationQuota {
-        return new OrganisationQuota(clock, localAddress, hosts, rateReductionMs, tolerance);
+        return new OrganisationQuota(clock, localAddress, hosts, rateReductionMs, tolerance, handover);
     }
 
     /** Replaces the organisations with the published ones. */
@@ -145,15 +155,19 @@
         this.recomputeShares();
     }
 
-    private recomputeShares(): void {
-        for (const organisation of this.organisations.values()) {
-            const bucket = this.buckets.get(organisation.name);
-            if (bucket) {
-                this.updateShare(organisation, bucket);
-            }
+    /** Recomputes this host's share of one organisation. */
+    updateShareOf(name: string): void {
+        const organisation = this.organisations.get(name);
+        const bucket = this.buckets.get(name);
+        if (organisation && bucket) {
+            this.updateShare(organisation, bucket);
         }
     }
 
+    private recomputeShares(): void {
+        this.organisations.forEach((_, name) => this.updateShareOf(name));
+    }
+
     /** Hosts that generate tokens for an organisation. */
     holdersOf({ name }: NamedOrganisation): QuotaHolders {
         const organisation = this.organisations.get(name);
@@ -166,6 +180,12 @@
         return organisation ? this.selection.reservesOf(organisation) : [];
     }
 
+    /** Hosts that would generate tokens in place of this host if it were not listed. */
+    replacedHolders(name: string): readonly string[] {
+        const organisation = this.organisations.get(name);
+        return organisation ? this.selection.replacedByLocalHost(organisation) : [];
+    }
+
     /** Counts a request towards the demand of its organisation at this host. */
     recordDemand({ name }: NamedOrganisation): void {
         const bucket = this.bucketOf(name);
@@ -207,16 +227,20 @@
     /** Grants tokens to another host, except those that local callers are expected to need soon. */
     grant(organisationName: string, wanted: number): TokenGrant {
         const bucket = this.bucketOf(organisationName);
-        if (!bucket || !(wanted > 0)) {
+        if (!bucket) {
             return NOTHING_GRANTED;
         }
+        const isGenerating = bucket.fraction > 0;
+        if (!(wanted > 0)) {
+            return { ...NOTHING_GRANTED, isGenerating };
+        }
         this.refill(bucket);
         this.decayDemand(bucket);
         bucket.askedPerSecond += Math.min(wanted, MAXIMUM_GRANT) * DEMAND_PER_REQUEST;
         const reserved = Math.floor(bucket.demandPerSecond * LOCAL_RESERVE_MS / SECOND_MS);
         const granted = Math.max(0, Math.min(wanted, MAXIMUM_GRANT, Math.floor(bucket.tokens - reserved)));
         bucket.tokens -= granted;
-        return { granted, nextTokenInMs: granted > 0 ? 0 : this.nextTokenInMs(bucket) };
+        return { granted, nextTokenInMs: granted > 0 ? 0 : this.nextTokenInMs(bucket), isGenerating };
     }
 
     /** Grants tokens of the reserve to a host that cannot reach any holder, which may be this host. */
@@ -301,7 +325,8 @@
         const { addresses, includesLocalHost } = this.holdersOf(organisation);
         bucket.fleetRate.change(organisation.ratePerSecond);
         bucket.fleetBurst.change(organisation.burst);
-        bucket.fraction = includesLocalHost ? 1 / addresses.length : 0;
+        const isGenerating = includesLocalHost && !this.handover.isPending(organisation.name);
+        bucket.fraction = isGenerating ? 1 / addresses.length : 0;
         bucket.ratePerSecond = bucket.fleetRate.current() * bucket.fraction;
     }
 
--- a/packages/mesh/src/process/quota-holders.ts
+++ b/packages/mesh/src/process/quota-holders.ts
@@ -79,6 +79,20 @@
         return [...best.values()].sort(compareScoredNames).map(({ name }) => name);
     }
 
+    /** Hosts that would generate tokens for an organisation if the local host were not listed, and now do not. */
+    replacedByLocalHost(organisation: Organisation): readonly string[] {
+        const { addresses, includesLocalHost } = this.holdersOf(organisation);
+        if (!includesLocalHost) {
+            return [];
+        }
+        const others = this.knownHosts.filter(({ address }) => address !== this.localAddress);
+        return others.map(toScored(organisation.name))
+            .sort(compareScoredNames)
+            .slice(0, holderCount(organisation, others.length))
+            .map(({ name }) => name)
+            .filter(address => !addresses.includes(address));
+    }
+
     private followHosts(): void {
         const hosts = this.hosts();
         if (hosts === this.knownHosts) {
