Count a forwarded body before it is read, and read it when there is room

Cause: a forwarded body was counted when its frame was whole, after all its bytes had been read and joined.

Change: a link takes room for a frame of 64 KiB or more when its length is known, collects it in one buffer, and stops reading while there is no room, telling its sender meanwhile that it is alive. A late request keeps its room.

--- a/packages/mesh/src/connection/message-frame.ts
+++ b/packages/mesh/src/connection/message-frame.ts
@@ -26,17 +26,60 @@
     }
 }
 
+/** Memory that large frames need, counted before they are read. */
+export interface FrameRoom {
+    /** Takes room for the payload of a frame; returns false if it does not fit now. */
+    tryTake(payloadBytes: number): boolean;
+    /** Gives the room back. */
+    giveBack(): void;
+}
+
+/** A large frame that is being received. */
+interface LargeFrame {
+    readonly payload: Buffer;
+    receivedBytes: number;
+}
+
+/** Payload from which a frame is counted, and collected in one buffer of its size. */
+const LARGE_FRAME_BYTES = 65_536;
+const NO_BYTES = Buffer.alloc(0);
+
 /** Splits the bytes of a connection into the payloads of its frames. */
 export class FrameReader {
     private readonly pending: Buffer[] = [];
     private pendingBytes = 0;
     /** Size of the pending frame including its header; until the header is complete, the size of the header. */
     private neededBytes = FRAME_HEADER_BYTES;
+    private largeFrame: LargeFrame | undefined;
+    private isWaiting = false;
+
+    private constructor(
+        private readonly onPayload: (payload: Buffer) => void,
+        private readonly room: FrameRoom | undefined,
+    ) {}
+
+    /** Without `room` frames of any size are read at once. */
+    static create(onPayload: (payload: Buffer) => void, room?: FrameRoom): FrameReader {
+        return new FrameReader(onPayload, room);
+    }
+
+    /** Whether the next frame does not fit; nothing more is to be read until {@link retry} finds room for it. */
+    get isWaitingForRoom(): boolean {
+        return this.isWaiting;
+    }
 
-    private constructor(private readonly onPayload: (payload: Buffer) => void) {}
+    /** Goes on with a frame that did not fit, if it does now. */
+    retry(): void {
+        this.isWaiting = false;
+        this.push(NO_BYTES);
+    }
 
-    static create(onPayload: (payload: Buffer) => void): FrameReader {
-        return new FrameReader(onPayload);
+    /** Gives up a frame that is not complete. */
+    close(): void {
+        if (this.largeFrame) {
+            this.largeFrame = undefined;
+            this.room?.giveBack();
+        }
     }
 
     /**
@@ -45,17 +88,19 @@
      * @throws FrameError if the length of a frame exceeds `MAXIMUM_FRAME_BYTES`.
      */
     push(chunk: Buffer): void {
-        this.pending.push(chunk);
-        this.pendingBytes += chunk.length;
-        if (this.pendingBytes < this.neededBytes) {
+        const rest = this.largeFrame ? this.fill(this.largeFrame, chunk) : chunk;
+        this.pending.push(rest);
+        this.pendingBytes += rest.length;
+        if (this.largeFrame || this.isWaiting || this.pendingBytes < this.neededBytes) {
             return;
         }
-        const bytes = this.pending.length === 1 ? chunk : Buffer.concat(this.pending, this.pendingBytes);
-        const rest = bytes.subarray(this.readFrames(bytes));
+        const bytes = this.pending.length === 1 ? rest : Buffer.concat(this.pending, this.pendingBytes);
         this.pending.length = 0;
-        this.pendingBytes = rest.length;
-        if (rest.length > 0) {
-            this.pending.push(rest);
+        this.pendingBytes = 0;
+        const unread = bytes.subarray(this.readFrames(bytes));
+        if (unread.length > 0) {
+            this.pending.push(unread);
+            this.pendingBytes = unread.length;
         }
     }
 
@@ -69,8 +114,7 @@
             }
             const end = position + FRAME_HEADER_BYTES + payloadBytes;
             if (end > bytes.length) {
-                this.neededBytes = end - position;
-                return position;
+                return this.beginFrame(bytes, position, payloadBytes);
             }
             this.onPayload(bytes.subarray(position + FRAME_HEADER_BYTES, end));
             position = end;
@@ -78,4 +122,34 @@
         this.neededBytes = FRAME_HEADER_BYTES;
         return position;
     }
+
+    /** Begins a frame that is not complete; returns the position up to which its bytes were taken. */
+    private beginFrame(bytes: Buffer, position: number, payloadBytes: number): number {
+        if (payloadBytes < LARGE_FRAME_BYTES) {
+            this.neededBytes = FRAME_HEADER_BYTES + payloadBytes;
+            return position;
+        }
+        this.neededBytes = FRAME_HEADER_BYTES;
+        if (this.room && !this.room.tryTake(payloadBytes)) {
+            this.isWaiting = true;
+            return position;
+        }
+        this.largeFrame = { payload: Buffer.allocUnsafeSlow(payloadBytes), receivedBytes: 0 };
+        this.fill(this.largeFrame, bytes.subarray(position + FRAME_HEADER_BYTES));
+        return bytes.length;
+    }
+
+    /** Adds bytes to a large frame; returns those behind its end. */
+    private fill(frame: LargeFrame, chunk: Buffer): Buffer {
+        const { payload, receivedBytes } = frame;
+        const copied = chunk.copy(payload, receivedBytes);
+        frame.receivedBytes += copied;
+        if (frame.receivedBytes < payload.length) {
+            return NO_BYTES;
+        }
+        this.largeFrame = undefined;
+        this.room?.giveBack();
+        this.onPayload(payload);
+        return chunk.subarray(copied);
+    }
 }
--- a/packages/mesh/src/connection/message-socket.ts
+++ b/packages/mesh/src/connection/message-socket.ts
@@ -3,8 +3,10 @@
  */
 import { Packr, Unpackr } from "msgpackr";
 import type { Socket } from "node:net";
+import type { BodyBudget } from "../process/body-budget.js";
 import type { LinkMessage } from "./link-message.js";
 import { appendFrame, FrameReader } from "./message-frame.js";
+import type { FrameRoom } from "./message-frame.js";
 
 /**
  * Limit of unsent output: the request bodies that a process holds, and a response. A connection with more is closed,
@@ -20,8 +22,13 @@
     readonly onMessage: (message: LinkMessage) => void;
     /** Called once, when the connection has closed. */
     readonly onClosed: () => void;
+    /** Called from time to time while the next message does not fit into the memory for bodies and is not read. */
+    readonly onWaitingForRoom?: () => void;
 }
 
+/** Time between two calls for a message that does not fit; the other end takes longer silence for a fault. */
+const WAITING_INTERVAL_MS = 150;
+
 /**
  * Sends and receives messages. Messages that are sent before the next tick go out in one write. Field names are sent
  * once for each connection, direction and message structure, with the first message of that structure.
@@ -33,23 +40,28 @@
     private pendingFrames: Buffer[] = [];
     private isClosing = false;
 
-    private constructor(private readonly socket: Socket, private readonly listener: MessageListener) {
+    private readonly reader: FrameReader;
+    private waitingTimer: NodeJS.Timeout | undefined;
+
+    private constructor(
+        private readonly socket: Socket,
+        private readonly listener: MessageListener,
+        private readonly bodyBudget: BodyBudget | undefined,
+    ) {
         socket.setNoDelay(true);
-        const reader = FrameReader.create(payload => this.decode(payload));
-        socket.on("data", (chunk: Buffer) => {
-            try {
-                reader.push(chunk);
-            }
-            catch (error) {
-                socket.destroy(error instanceof Error ? error : new Error(String(error)));
-            }
-        });
+        this.reader = FrameReader.create(payload => this.decode(payload), bodyBudget && createRoom(bodyBudget));
+        socket.on("data", (chunk: Buffer) => this.read(() => this.reader.push(chunk)));
         socket.on("error", () => socket.destroy());
-        socket.once("close", listener.onClosed);
+        socket.once("close", () => {
+            clearInterval(this.waitingTimer);
+            this.reader.close();
+            listener.onClosed();
+        });
     }
 
-    static create(socket: Socket, listener: MessageListener): MessageSocket {
-        return new MessageSocket(socket, listener);
+    /** Messages of a size that matters are read as far as `bodyBudget` has room for them; without it, always. */
+    static create(socket: Socket, listener: MessageListener, bodyBudget?: BodyBudget): MessageSocket {
+        return new MessageSocket(socket, listener, bodyBudget);
     }
 
     /** Sends a message; does nothing on a closed connection. */
@@ -111,6 +123,41 @@
         }
     }
 
+    private read(takeInput: () => void): void {
+        const { socket, reader } = this;
+        try {
+            takeInput();
+        }
+        catch (error) {
+            socket.destroy(error instanceof Error ? error : new Error(String(error)));
+            return;
+        }
+        if (reader.isWaitingForRoom) {
+            this.waitForRoom();
+        }
+    }
+
+    /** Stops reading until other bodies have given their memory back; the sender keeps what follows. */
+    private waitForRoom(): void {
+        const { socket, listener, bodyBudget } = this;
+        socket.pause();
+        this.waitingTimer ??= setInterval(() => listener.onWaitingForRoom?.(), WAITING_INTERVAL_MS);
+        bodyBudget?.whenReleased(() => {
+            if (!socket.destroyed) {
+                this.read(() => this.reader.retry());
+                this.resumeIfRoomFound();
+            }
+        });
+    }
+
+    private resumeIfRoomFound(): void {
+        if (!this.reader.isWaitingForRoom) {
+            clearInterval(this.waitingTimer);
+            this.waitingTimer = undefined;
+            this.socket.resume();
+        }
+    }
+
     private decode(payload: Buffer): void {
         if (this.isClosing) {
             return;
@@ -119,3 +166,12 @@
         messages.forEach(message => this.listener.onMessage(message));
     }
 }
+
+function createRoom(bodyBudget: BodyBudget): FrameRoom {
+    const reservation = bodyBudget.open();
+    return {
+        // A body larger than all of the memory fits where nothing else is held.
+        tryTake: payloadBytes => reservation.tryAdd(Math.min(payloadBytes, bodyBudget.maximumBytes)),
+        giveBack: () => reservation.release(),
+    };
+}
--- a/packages/mesh/src/connection/peer-server.ts
+++ b/packages/mesh/src/connection/peer-server.ts
@@ -6,7 +6,7 @@
 import { createServer } from "node:net";
 import type { Server, Socket } from "node:net";
 import { RETRY_AFTER_NO_ROOM_MS } from "../process/body-budget.js";
-import type { BodyBudget } from "../process/body-budget.js";
+import type { BodyBudget, BodyReservation } from "../process/body-budget.js";
 import type { CrashingRequests } from "../process/crashing-requests.js";
 import type { DownstreamPressure } from "../process/downstream-pressure.js";
 import type { LifeCycle } from "../process/life-cycle.js";
@@ -30,6 +30,7 @@
     readonly quota: OrganisationQuota;
     readonly onwardPressure: DownstreamPressure;
     readonly stateAnswers: StateAnswers;
+    /** Memory for the bodies that other nodes forward. */
     readonly bodyBudget: BodyBudget;
     readonly crashing: CrashingRequests;
     /** Start of the local backend server that leaves; undefined if it does not leave. */
@@ -51,6 +52,12 @@
     readonly unreadMs: number;
 }
 
+/** A late request that is not started yet. */
+interface LateRequest {
+    readonly timer: Timer;
+    readonly reservation: BodyReservation;
+}
+
 /** Delay from which a request counts as late. */
 const LATE_AFTER_MS = 200;
 /** Time that a late request waits for a cancellation: some round trips of a connection that works again. */
@@ -95,8 +102,8 @@
 class IncomingLink {
     private readonly messages: MessageSocket;
     private readonly attempts = new Map<number, Attempt>();
-    /** Timers of late requests that are not started yet, by request number. */
-    private readonly lateRequests = new Map<number, Timer>();
+    /** Late requests that are not started yet, by request number. */
+    private readonly lateRequests = new Map<number, LateRequest>();
 
     private constructor(
         private readonly dependencies: PeerServerDependencies,
@@ -108,11 +115,11 @@
             onMessage: message => this.receive(message),
             onClosed: () => {
                 onClosed();
-                this.lateRequests.forEach(timer => timer.cancel());
-                this.lateRequests.clear();
+                [...this.lateRequests.keys()].forEach(number => this.dropLate(number));
                 this.attempts.forEach(attempt => attempt.abort("caller-gone"));
             },
-        });
+            onWaitingForRoom: () => this.sendState(),
+        }, dependencies.bodyBudget);
     }
 
     static create(dependencies: PeerServerDependencies, socket: Socket, onClosed: () => void): IncomingLink {
@@ -178,8 +185,13 @@
         const delayMs = Math.max(0, receivedAtMs - sentAtMs);
         const unreadMs = receivedAtMs - backlog.earliestArrivalMs(this.socket);
         const arrival = { number, receivedAtMs, delayMs, unreadMs };
+        const reservation = this.reserve(request);
+        if (!reservation) {
+            this.messages.send({ kind: "outcome", number, outcome: NO_ROOM, state: this.state() });
+            return;
+        }
         if (delayMs < LATE_AFTER_MS) {
-            void this.run(arrival, request);
+            void this.run(arrival, request, reservation);
             return;
         }
         this.dependencies.log.decision("forwarded-request-late", {
@@ -188,20 +200,37 @@
             ...toLogFields(arrival),
             remainingMs: Math.round(request.remainingMs - delayMs),
         });
-        this.lateRequests.set(number, clock.setTimer(CANCELLATION_WAIT_MS, () => void this.runLate(arrival, request)));
+        const timer = clock.setTimer(CANCELLATION_WAIT_MS, () => void this.runLate(arrival, request));
+        this.lateRequests.set(number, { timer, reservation });
+    }
+
+    /** Counts the body of a request; undefined if it does not fit. One larger than all of the memory fits alone. */
+    private reserve({ content }: ForwardedRequest): BodyReservation | undefined {
+        const { bodyBudget } = this.dependencies;
+        const reservation = bodyBudget.open();
+        const bytes = Math.min(content.body?.length ?? 0, bodyBudget.maximumBytes);
+        return reservation.tryAdd(bytes) ? reservation : undefined;
+    }
+
+    private dropLate(number: number): void {
+        const late = this.lateRequests.get(number);
+        late?.timer.cancel();
+        late?.reservation.release();
+        this.lateRequests.delete(number);
     }
 
     /** Reads pending input first: the timer can fire before a cancellation that has arrived is read. */
     private async runLate(arrival: Arrival, request: ForwardedRequest): Promise<void> {
         await this.dependencies.backlog.whenCaughtUp();
-        if (this.lateRequests.delete(arrival.number)) {
-            await this.run(arrival, request);
+        const late = this.lateRequests.get(arrival.number);
+        if (late) {
+            this.lateRequests.delete(arrival.number);
+            await this.run(arrival, request, late.reservation);
         }
     }
 
     private cancel(number: number): void {
-        this.lateRequests.get(number)?.cancel();
-        this.lateRequests.delete(number);
+        this.dropLate(number);
         this.attempts.get(number)?.abort("caller-gone");
     }
 
@@ -209,16 +238,11 @@
      * Runs a request; its remaining time counts from the time at which it was sent. A request that cannot be run because
      * it is malformed costs the peer its connection.
      */
-    private async run(arrival: Arrival, request: ForwardedRequest): Promise<void> {
-        const { lifeCycle, log, bodyBudget } = this.dependencies;
+    private async run(arrival: Arrival, request: ForwardedRequest, reservation: BodyReservation): Promise<void> {
+        const { lifeCycle, log } = this.dependencies;
         const { number } = arrival;
-        const reservation = bodyBudget.open();
         lifeCycle.begin();
         try {
-            if (!reservation.tryAdd(request.content.body?.length ?? 0)) {
-                this.messages.send({ kind: "outcome", number, outcome: NO_ROOM, state: this.state() });
-                return;
-            }
             const attempt = this.start(request, arrival.receivedAtMs - arrival.delayMs);
             this.attempts.set(number, attempt);
             const { outcome, timing } = await attempt.result;
--- a/packages/mesh/src/process/mesh-node.ts
+++ b/packages/mesh/src/process/mesh-node.ts
@@ -79,6 +79,7 @@
     private readonly peerServer: PeerServer;
     private readonly state = PublishedState.create();
     private readonly bodyBudget = BodyBudget.create();
+    private readonly forwardedBodies = BodyBudget.createForForwarded();
     private follower: StateFollower | undefined;
     private readonly fleet: FleetView;
     private hasAskedForQuarantine = false;
@@ -324,7 +325,7 @@
             quota: this.quota.quota,
             onwardPressure,
             stateAnswers,
-            bodyBudget: this.bodyBudget,
+            bodyBudget: this.forwardedBodies,
             crashing: this.crashing,
             leavingServer: () => this.localServer.leaving,
             lifeCycle,
