--- a/packages/mesh/src/test/crashing-requests-fleet.test.ts
+++ b/packages/mesh/src/test/crashing-requests-fleet.test.ts
@@ -26,6 +26,18 @@
     });
 }
 
+// Guards against a service that loses all its servers to one request: a second copy begins before the first end is known, and
+// one more run names the request; nothing after that may reach a server, however long copies keep coming.
+for (const nodes of [13, 60]) {
+    test(`two copies that begin together end three servers at most, and later ones none: ${nodes} nodes`, async () => {
+        const fleet = SimulatedCrashFleet.create({ nodes, services: 4, endDelayMs: 18 });
+        await fleet.play({ durationMs: 20_000, copyIntervalMs: 60, copiesAtOnce: 2 });
+        assert.ok(fleet.ends.length <= MAXIMUM_ENDS + 1, `${fleet.ends.length} servers ended`);
+        assert.ok(fleet.ends.every(atMs => atMs - fleet.ends[0]! < 2_000), fleet.ends.join());
+        assert.equal(fleet.popularServed, fleet.popularSent);
+    });
+}
+
 test("copies that run half a second before the end are stopped once the first end is known", async () => {
     const fleet = SimulatedCrashFleet.create({ nodes: 60, services: 6, endDelayMs: 500 });
     await fleet.play({ durationMs: 12_000, copyIntervalMs: 120 });
