Use tokens that a host grants which generates none any more

Found on reading the diff: a host that had handed its share over may still have tokens of before, and granted them; the answer was passed over because the host generates none, so the tokens were lost and the callers refused. Only a host that has none and generates none counts as one that gives no answer.

--- a/packages/mesh/src/connection/token-broker.ts
+++ b/packages/mesh/src/connection/token-broker.ts
@@ -170,8 +170,7 @@
             const waiting = this.waitingFor(name);
             const wanted = quota.wanted(organisation, waiting) - (received ?? 0);
             const grant = await requestTokens(address, { organisation: name, wanted, isReserve: false });
-            // A host that waits for its handover has no tokens to give, as one that gives no answer.
-            if (!grant || grant.isGenerating === false) {
+            if (!grant || isWithoutTokens(grant)) {
                 continue;
             }
             quota.receive(organisation, grant.granted);
@@ -263,3 +262,8 @@
         return (this.memories.get(name)?.backoff?.durationMs ?? MINIMUM_BACKOFF_MS) / MINIMUM_BACKOFF_MS;
     }
 }
+
+/** Whether a host neither has tokens nor generates any, so that it counts as one that gives no answer. */
+function isWithoutTokens({ granted, isGenerating }: TokenGrant): boolean {
+    return granted === 0 && isGenerating === false;
+}
--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -334,3 +334,18 @@
     }
     assert.ok(admitted <= 10 + 20, `${admitted} admitted in 2 s at 10 a second and a burst of 10`);
 });
+
+test("tokens of a host that generates none any more are used", async () => {
+    const clock = ManualClock.create();
+    const organisation = createOrganisation({ burst: 8 });
+    const hosts = ["10.0.0.1", "10.0.0.2"].map(toFleetHost);
+    const [asking] = createPair(clock, organisation, () => hosts);
+    const broker = TokenBroker.create({
+        clock,
+        quota: asking.quota,
+        localAddress: asking.address,
+        isReachable: () => true,
+        requestTokens: async () => ({ granted: 2, nextTokenInMs: 0, isGenerating: false }),
+    });
+    assert.deepEqual(await broker.take(organisation), { kind: "within" });
+});
