Wait for no handover at a host that the others counted all along

A server that ends and comes back as a new one joins again, but its host kept its fraction at all others (15 s after an entry went without notice, or by an entry that is still listed). Asking first would cost its callers a round trip, and 5 s behind a cut.

--- a/packages/mesh/src/process/node-quota.ts
+++ b/packages/mesh/src/process/node-quota.ts
@@ -10,16 +10,16 @@
 import { OrganisationQuota } from "./organisation-quota.js";
 import type { TokenGrant } from "./organisation-quota.js";
 import { QuotaHandover } from "./quota-handover.js";
-import { QuotaHosts } from "./quota-hosts.js";
+import { QuotaHosts, SILENT_HOST_MS } from "./quota-hosts.js";
 import type { RequestLog } from "./request-log.js";
-import type { DirectoryChange, ServerDirectory } from "./server-directory.js";
+import type { BackendServer, DirectoryChange, ServerDirectory } from "./server-directory.js";
 
 /** Collaborators and settings. */
 export interface NodeQuotaOptions {
     readonly clock: Clock;
     readonly log: RequestLog;
     readonly directory: ServerDirectory;
-    readonly settings: MeshNodeSettings;
+    readonly settings: Pick<MeshNodeSettings, "hostAddress" | "keyLeaseMs" | "rateReductionMs" | "quotaTolerance">;
     /** Whether tokens can be requested from a host. */
     readonly isReachable: (address: string) => boolean;
     /** Requests tokens from a host; resolves with undefined if it gives no answer. */
@@ -37,6 +37,8 @@
     readonly broker: TokenBroker;
     private readonly hosts: QuotaHosts;
     private readonly handover: QuotaHandover;
+    /** Time until which other hosts count this one although its server is not listed. */
+    private countedUntilMs = -Infinity;
 
     private constructor(private readonly options: NodeQuotaOptions) {
         const { clock, log, directory, settings, isReachable, requestTokens } = options;
@@ -75,12 +77,15 @@
 
     /** Follows a change of the list of hosts. */
     applyServerChange({ kind, server }: DirectoryChange): void {
-        const { directory, settings } = this.options;
-        const { hostAddress, failureDomain, state, startedAtMs } = server;
+        const { clock, directory, settings } = this.options;
+        const { hostAddress, failureDomain, state } = server;
         if (kind === "left" && state === "ready" && !directory.hasHost(hostAddress)) {
             this.hosts.recordSilent({ address: hostAddress, failureDomain });
+            this.countedUntilMs = hostAddress === settings.hostAddress ?
+                clock.nowMs() + SILENT_HOST_MS :
+                this.countedUntilMs;
         }
-        if (kind === "joined" && hostAddress === settings.hostAddress && isNew(startedAtMs)) {
+        if (kind === "joined" && hostAddress === settings.hostAddress && this.isNewHost(server)) {
             this.handover.begin();
         }
         if (kind === "left" || kind === "joined") {
@@ -88,13 +93,22 @@
         }
     }
 
+    /** Whether other hosts did not count this one before its server joined. */
+    private isNewHost({ instance, hostAddress, startedAtMs }: BackendServer): boolean {
+        const { clock, directory } = this.options;
+        const hasOtherServer = [...directory.all()].some(other =>
+            other.hostAddress === hostAddress && other.instance !== instance
+        );
+        return isNew(startedAtMs) && !hasOtherServer && clock.nowMs() >= this.countedUntilMs;
+    }
+
     private async askIsGenerating(address: string, organisation: string): Promise<boolean | undefined> {
         const grant = await this.options.requestTokens(address, { organisation, wanted: 0, isReserve: false });
         return grant?.isGenerating;
     }
 }
 
-/** A server that runs for longer was listed before, and the others know that its host generates tokens. */
+/** Whether a server has just started; one that runs for longer was listed before this process started. */
 function isNew(startedAtMs: number | undefined): boolean {
     return startedAtMs === undefined || Date.now() - startedAtMs < NEW_SERVER_MS;
 }
--- a/packages/mesh/src/process/quota-hosts.ts
+++ b/packages/mesh/src/process/quota-hosts.ts
@@ -8,7 +8,7 @@
 import type { FleetHost } from "./relay-tree.js";
 
 /** Time for which a host counts after its entry went; longer than most cuts last. */
-const SILENT_HOST_MS = 15_000;
+export const SILENT_HOST_MS = 15_000;
 
 /** The listed hosts, and those that left the list without notice a short time ago. */
 export class QuotaHosts {
