--- a/packages/mesh/src/process/organisation-quota.ts
+++ b/packages/mesh/src/process/organisation-quota.ts
@@ -19,6 +19,7 @@
 import { QuotaReserve } from "./quota-reserve.js";
 import type { QuotaTolerance } from "./quota-reserve.js";
 import type { FleetHost } from "./relay-tree.js";
+import { Withdrawals } from "./withdrawals.js";
 
 interface Bucket {
     tokens: number;
@@ -61,8 +62,6 @@
 /** A host requests the tokens that its local callers are expected to need in this time. */
 const REQUEST_HORIZON_MS = 300;
 const MAXIMUM_GRANT = 64;
-/** Time for which a withdrawal is remembered; after it, an organisation that returns gets its burst at once. */
-const WITHDRAWAL_MEMORY_MS = 60_000;
 /** Shortest time until a retry of a refused request; below it, refusals cost more than the tokens are worth. */
 const MINIMUM_WAIT_MS = 150;
 const NOTHING_GRANTED: TokenGrant = { granted: 0, nextTokenInMs: 0, isGenerating: false };
@@ -78,8 +77,7 @@
     private readonly selection: QuotaHolderSelection;
     private readonly reserve: QuotaReserve;
     private organisations = new Map<string, Organisation>();
-    /** Times at which organisations were withdrawn a short time ago, by name. */
-    private readonly withdrawnAtMs = new Map<string, number>();
+    private readonly withdrawals: Withdrawals;
     /**
      * Time since which tokens are due that this host has not generated yet: another process or host may have generated
      * those before, until this process started or the host list changed last.
@@ -95,6 +93,7 @@
         private readonly handover: HandoverState,
     ) {
         this.tokensDueSinceMs = clock.nowMs();
+        this.withdrawals = Withdrawals.create(clock);
         this.selection = QuotaHolderSelection.create(localAddress, hosts);
         this.reserve = QuotaReserve.create(clock, tolerance);
     }
@@ -119,7 +118,7 @@
     setOrganisations(organisations: readonly Organisation[]): void {
         const before = this.organisations;
         this.organisations = new Map(organisations.map(organisation => [organisation.name, organisation]));
-        this.recordWithdrawals(before);
+        this.withdrawals.record(before, this.organisations);
         for (const name of this.buckets.keys()) {
             if (!this.organisations.has(name)) {
                 this.buckets.delete(name);
@@ -130,20 +129,6 @@
         this.recomputeShares();
     }
 
-    private recordWithdrawals(before: ReadonlyMap<string, Organisation>): void {
-        const nowMs = this.clock.nowMs();
-        for (const [name, atMs] of this.withdrawnAtMs) {
-            if (nowMs - atMs > WITHDRAWAL_MEMORY_MS) {
-                this.withdrawnAtMs.delete(name);
-            }
-        }
-        for (const name of before.keys()) {
-            if (!this.organisations.has(name)) {
-                this.withdrawnAtMs.set(name, nowMs);
-            }
-        }
-    }
-
     /** Whether an organisation is in the active configuration. */
     isPublished({ name }: NamedOrganisation): boolean {
         return this.organisations.has(name);
@@ -301,7 +286,7 @@
             // withdrawn may have used the share.
             bucket = {
                 tokens: 0,
-                refilledAtMs: Math.max(this.tokensDueSinceMs, this.withdrawnAtMs.get(name) ?? -Infinity),
+                refilledAtMs: Math.max(this.tokensDueSinceMs, this.withdrawals.timeOf(name) ?? -Infinity),
                 fleetRate: PhasedLimit.create(this.clock, this.rateReductionMs, organisation.ratePerSecond),
                 fleetBurst: PhasedLimit.create(this.clock, this.rateReductionMs, organisation.burst),
                 fraction: 0,
