--- a/packages/mesh/src/test/organisation-quota.test.ts
+++ b/packages/mesh/src/test/organisation-quota.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { OrganisationQuota, TokenBroker } from "../index.js";
+import type { TokenGrant } from "../index.js";
 import { createOrganisation, toFleetHost } from "./example-values.js";
 
 interface SimulatedHost {
@@ -279,10 +280,11 @@
     assert.equal(quota.tryTake(organisation), false, "the tokens of before are gone");
 });
 
-/** Asks a holder that answers when it is told to, while `whileAsked` runs. */
+/** Asks a holder that gives `answer` after `whileAsked` has run. */
 async function takeWhileAsked(
     organisation: ReturnType<typeof createOrganisation>,
     whileAsked: (quota: OrganisationQuota) => void,
+    answer: TokenGrant = { granted: 0, nextTokenInMs: 200 },
 ): Promise<{ readonly quota: OrganisationQuota; readonly decision: Awaited<ReturnType<TokenBroker["take"]>>; }> {
     const clock = ManualClock.create();
     const hosts = ["10.0.0.1", "10.0.0.2"].map(toFleetHost);
@@ -294,7 +296,7 @@
         isReachable: () => true,
         requestTokens: async () => {
             whileAsked(asking.quota);
-            return { granted: 0, nextTokenInMs: 200 };
+            return answer;
         },
     });
     return { quota: asking.quota, decision: await broker.take(organisation) };
@@ -336,16 +338,8 @@
 });
 
 test("tokens of a host that generates none any more are used", async () => {
-    const clock = ManualClock.create();
     const organisation = createOrganisation({ burst: 8 });
-    const hosts = ["10.0.0.1", "10.0.0.2"].map(toFleetHost);
-    const [asking] = createPair(clock, organisation, () => hosts);
-    const broker = TokenBroker.create({
-        clock,
-        quota: asking.quota,
-        localAddress: asking.address,
-        isReachable: () => true,
-        requestTokens: async () => ({ granted: 2, nextTokenInMs: 0, isGenerating: false }),
-    });
-    assert.deepEqual(await broker.take(organisation), { kind: "within" });
+    const answer = { granted: 2, nextTokenInMs: 0, isGenerating: false };
+    const { decision } = await takeWhileAsked(organisation, () => undefined, answer);
+    assert.deepEqual(decision, { kind: "within" });
 });
