--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -57,15 +57,52 @@
     history = [];
     revision = 1;
     watches = new Set();
+    servers = [];
+    cutAddresses = new Set();
+    silent = new Map();
+    /** Address by which the store was asked last. */
+    lastReader = undefined;
 
     static async create(address, port) {
         const store = new Store();
-        store.address = `${address}:${port}`;
-        store.server = createServer((request, response) => store.answer(request, response));
-        await new Promise(resolve => store.server.listen(port, address, resolve));
+        store.port = port;
+        await store.open(address);
         return store;
     }
 
+    /** Opens an address; each machine has one of its own, so that one machine can be cut off from the store. */
+    async open(address) {
+        const server = createServer((request, response) => this.receive(address, request, response));
+        this.servers.push(server);
+        await new Promise(resolve => server.listen(this.port, address, resolve));
+    }
+
+    /** Cuts off what comes by an address: nothing that is asked there is answered, also not what was asked before. */
+    cut(address) {
+        this.cutAddresses.add(address);
+    }
+
+    /** Ends a cut; connections that were open during it stay silent until they are closed. */
+    heal(address) {
+        this.cutAddresses.delete(address);
+        this.silent.get(address)?.forEach(socket => socket.destroy());
+        this.silent.delete(address);
+    }
+
+    receive(address, request, response) {
+        if (this.cutAddresses.has(address)) {
+            this.silence(address, request.socket);
+            return;
+        }
+        this.lastReader = address;
+        response.address = address;
+        this.answer(request, response);
+    }
+
+    silence(address, socket) {
+        this.silent.set(address, (this.silent.get(address) ?? new Set()).add(socket));
+    }
+
     /** Writes an item; returns its revision, which is the acknowledgement. */
     put(key, value) {
         const Value = Buffer.from(JSON.stringify(value)).toString("base64");
@@ -124,6 +161,10 @@
         const end = () => {
             clearTimeout(timer);
             this.watches.delete(onChange);
+            if (this.cutAddresses.has(response.address)) {
+                this.silence(response.address, response.socket);
+                return;
+            }
             response.end(JSON.stringify({ events: events(), StoreRevision: this.revision }));
         };
         const onChange = () => events().length > 0 && end();
@@ -133,8 +174,10 @@
     }
 
     close() {
-        this.server.closeAllConnections();
-        this.server.close();
+        for (const server of this.servers) {
+            server.closeAllConnections();
+            server.close();
+        }
     }
 }
 
@@ -288,6 +331,8 @@
             const instance = `i-${index + 1}-a`;
             const target = await Target.create({ address, port: app, service, instance, record });
             const machine = { address, service, zone, target, born: Date.now() - 60_000 };
+            machine.storeAddress = `${prefix.replace(/\d+$/, "1")}.${index + 1}`;
+            await deployment.store.open(machine.storeAddress);
             deployment.machines.push(machine);
             deployment.beat(machine);
         }
@@ -295,7 +340,7 @@
         return deployment;
     }
 
-    settingsOf({ address, service, zone }) {
+    settingsOf({ address, service, zone, storeAddress }) {
         const { outbound, inbound, ready, app, metrics } = this.ports;
         return [
             `NodeName=side-${address}`,
@@ -307,6 +352,7 @@
             "Region=r",
             "Zones.zone-a=r",
             "Zones.zone-b=r",
+            "Zones.zone-c=r",
             `ListenAddrs.Inbound=${address}:${inbound}`,
             `ListenAddrs.Outbound=${address}:${outbound}`,
             `ListenAddrs.Ready=${address}:${ready}`,
@@ -345,7 +391,7 @@
             "Bounds.Recover=15s",
             `AppAddr=${address}:${app}`,
             `Service=${service}`,
-            `Platform.Address=${this.store.address}`,
+            `Platform.Address=${storeAddress}:${this.store.port}`,
             "Platform.form=read",
             "Platform.ReadsPerS=2000",
             "Platform.History=20s",
