--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,147 +1,133 @@
 /**
- * A machine gets SIGTERM while its target works on a request. The target answers, and the client reads the answer at
- * 32 Mbit/s.
+ * The machine that reads the store for the others is cut off from the store. Just before, the entry of a target changed; just
+ * after, the operator moves a route to another service.
  */
-import { connect } from "node:net";
+import { Agent } from "node:http";
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Deployment, runCase, sleep } from "../lib-2/stand-ins.mjs";
 
 const folder = dirname(fileURLToPath(import.meta.url));
 
-const ANSWER_BYTES = 10 * 1024 * 1024;
-const CLIENT_BYTES_PER_S = 4_000_000;
-const WORK_MS = 2_300;
-const DEADLINE_MS = 6_000;
-const GRACE_MS = 6_000;
-const CLIENTS = 4;
+const CONFIG_APPLY_MS = 2_000;
+const ROUNDS = 6;
+/** More than `Contact`, so that all machines are in touch when a round begins. */
+const CALM_MS = 7_000;
+const CUT_MS = 4_000;
+const ENTRY_CHANGES_APART_MS = 250;
+const CUT_AFTER_MS = 50;
+const VERSION_AFTER_MS = 20;
+/** Time after the acknowledgement in which requests are sent. */
+const SEND_FROM_MS = 1_900;
+const SEND_UNTIL_MS = 3_200;
+const SEND_INTERVAL_MS = 10;
 
-const configuration = {
-    ConfigVersion: 1,
-    Routes: [{
-        Name: "r-export",
-        Host: "export.example",
-        PathPrefix: "/export/",
-        Kind: "unsafe",
-        Timeout: "6000ms",
-        Aim: "1500ms",
-        Priority: 0,
-        Service: "export",
-        RetryAttempts: 2,
-        Public: false,
-    }],
-    Services: [{ Name: "export", HealthPath: "/health", MaxConns: 934, Protocol: "h1", Tls: false }],
-    Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 1048576, HeaderTimeout: "3000ms", IdleTimeout: "15000ms" },
-    Tenants: [{ Name: "tenant-1", ApiKeys: ["key-1"], Priority: 0, RatePerS: 400, Burst: 400 }],
-};
+const services = ["alpha", "beta"];
 
-/** Sends one request and reads the answer at a constant rate; resolves when the connection has ended or all is read. */
-function sendAndReadSlowly(machine, port, id) {
-    const { address } = machine;
-    const sentAtMs = performance.now();
-    return new Promise(resolve => {
-        const socket = connect(port, address);
-        const parts = [];
-        let bytes = 0;
-        let firstAtMs;
-        let headBytes;
-        const finish = end => {
-            const text = Buffer.concat(parts);
-            const headEnd = text.indexOf("\r\n\r\n");
-            const head = text.subarray(0, Math.max(0, headEnd)).toString("latin1");
-            const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? NaN);
-            const bodyBytes = headEnd < 0 ? 0 : text.length - headEnd - 4;
-            resolve({
-                id,
-                status: head.split(" ")[1],
-                length,
-                bodyBytes,
-                isWhole: bodyBytes === length,
-                end,
-                tookMs: performance.now() - sentAtMs,
-            });
-            socket.destroy();
-        };
-        socket.on("data", part => {
-            firstAtMs ??= performance.now();
-            parts.push(part);
-            bytes += part.length;
-            headBytes ??= part.indexOf("\r\n\r\n") + 4;
-            if (bytes - headBytes >= ANSWER_BYTES) {
-                finish("whole");
-                return;
-            }
-            socket.pause();
-            const dueAtMs = firstAtMs + bytes / CLIENT_BYTES_PER_S * 1_000;
-            setTimeout(() => socket.resume(), Math.max(0, dueAtMs - performance.now()));
-        });
-        socket.on("error", error => finish(String(error)));
-        socket.on("close", () => finish("closed by the node"));
-        setTimeout(() => finish("deadline"), DEADLINE_MS);
-        socket.write(
-            `POST /export/${id} HTTP/1.1\r\nHost: export.example\r\nRadishrouter-Attempt-Id: ${id}\r\n` +
-                `Radishrouter-Deadline-Ms: ${DEADLINE_MS}\r\nApi-Key: key-1\r\nContent-Length: 4\r\n\r\nbody`,
-        );
-    });
+/** The route leads to one service in odd versions and to the other one in even versions. */
+function configuration(version) {
+    return {
+        ConfigVersion: version,
+        Routes: [{
+            Name: "r-orders",
+            Host: "orders.example",
+            PathPrefix: "/orders/",
+            Kind: "unsafe",
+            Timeout: "5000ms",
+            Aim: "1200ms",
+            Priority: 0,
+            Service: services[version % 2],
+            RetryAttempts: 2,
+            Public: false,
+        }],
+        Services: services.map(Name => ({ Name, HealthPath: "/health", MaxConns: 934, Protocol: "h1", Tls: false })),
+        Limits: { MaxHeaderBytes: 16384, MaxBodyBytes: 1048576, HeaderTimeout: "3000ms", IdleTimeout: "15000ms" },
+        Tenants: [{ Name: "tenant-1", ApiKeys: ["key-1"], Priority: 0, RatePerS: 5000, Burst: 5000 }],
+    };
 }
 
 await runCase(folder, async ({ record, hasTrouble, started }) => {
-    const machines = ["zone-a", "zone-a", "zone-b"].map(zone => ({ service: "export", zone }));
-    const deployment = await Deployment.create({ machines, configuration, record, logs: process.env.LOGS });
+    const machines = Array.from({ length: 10 }, (_, index) => ({
+        service: services[index % 2],
+        zone: ["zone-a", "zone-b", "zone-c"][index % 3],
+    }));
+    const deployment = await Deployment.create({ machines, configuration: configuration(1), logs: process.env.LOGS });
     started.push(deployment);
+    const { store } = deployment;
+    deployment.machines.forEach(({ target }) => target.workMs = 2);
     if (!await deployment.whenReady()) {
         record.write("the nodes were not ready in time");
         return 2;
     }
-    // Each target has answered before; a node that has not heard of its target sends one request at a time.
-    for (const machine of deployment.machines) {
-        for (let count = 0; count < 20; count++) {
-            await deployment.send(machine, {
-                id: `first-${machine.address}-${count}`,
-                key: "key-1",
-                method: "POST",
-                host: "export.example",
-                path: "/export/first",
-                body: "body",
-            });
+    const agent = new Agent({ keepAlive: true });
+    const sent = new Map();
+    let count = 0;
+    let version = 1;
+    /** Sends requests to one machine for a while after the acknowledgement of a version. */
+    const sendAfter = async (machine, acknowledgedAtMs) => {
+        await sleep(acknowledgedAtMs + SEND_FROM_MS - performance.now());
+        const answers = [];
+        while (performance.now() < acknowledgedAtMs + SEND_UNTIL_MS) {
+            const id = `order-${++count}`;
+            sent.set(id, { machine, version, afterMs: performance.now() - acknowledgedAtMs });
+            answers.push(
+                deployment.send(machine, {
+                    id,
+                    key: "key-1",
+                    method: "POST",
+                    host: "orders.example",
+                    path: "/orders/new",
+                    body: "order",
+                    agent,
+                }),
+            );
+            await sleep(SEND_INTERVAL_MS);
         }
+        await Promise.all(answers);
+    };
+    const changeEntry = round => {
+        const [machine] = deployment.machines;
+        deployment.beat(machine, { Slots: 100 + round });
+    };
+    for (let round = 1; round <= ROUNDS; round++) {
+        await sleep(CALM_MS);
+        changeEntry(2 * round);
+        await sleep(ENTRY_CHANGES_APART_MS);
+        changeEntry(2 * round + 1);
+        await sleep(CUT_AFTER_MS);
+        const reader = deployment.machines.find(({ storeAddress }) => storeAddress === store.lastReader);
+        if (hasTrouble) {
+            store.cut(reader.storeAddress);
+            record.write(`${reader.address}, which asked the store last, is cut off from it`);
+        }
+        await sleep(VERSION_AFTER_MS);
+        version++;
+        store.put("op/config", configuration(version));
+        const acknowledgedAtMs = performance.now();
+        record.write(`version ${version} is acknowledged: the route leads to ${services[version % 2]}`);
+        const others = deployment.machines.filter(machine => machine !== reader);
+        await Promise.all([
+            ...others.map(machine => sendAfter(machine, acknowledgedAtMs)),
+            sleep(CUT_MS).then(() => store.heal(reader.storeAddress)),
+        ]);
     }
-    const content = "x".repeat(ANSWER_BYTES);
-    for (const { target } of deployment.machines) {
-        target.workMs = WORK_MS;
-        target.send = (_, response, id, status, fields) => {
-            record.write(`target ${target.instance} answers ${status} to ${id} with ${content.length} bytes`);
-            response.writeHead(status, {
-                ...fields,
-                "Radishrouter-Attempt-Id": id,
-                "Content-Length": content.length,
-            }).end(content);
-        };
-    }
-    await sleep(1_000);
-    const [machine] = deployment.machines;
-    const answers = Array.from(
-        { length: CLIENTS },
-        (_, index) => sendAndReadSlowly(machine, deployment.ports.outbound, `export-${index + 1}`),
-    );
-    await sleep(200);
-    const termAtMs = performance.now();
-    if (hasTrouble) {
-        machine.node.signal("SIGTERM");
-        record.write(`SIGTERM to the node of ${machine.address}`);
-        void machine.node.ended.then(exit =>
-            record.write(`the node ended ${Math.round(performance.now() - termAtMs)} ms later: ${JSON.stringify(exit)}`)
-        );
-    }
-    const results = await Promise.all(answers);
-    let broken = 0;
-    for (const { id, status, length, bodyBytes, isWhole, end, tookMs } of results) {
-        record.write(`${id}: ${status}, ${bodyBytes} of ${length} bytes after ${Math.round(tookMs)} ms, ${end}`);
-        broken += !isWhole && end !== "deadline" ? 1 : 0;
-    }
-    record.write(`answers that ended before they were complete: ${broken}`);
-    if (hasTrouble) {
-        await Promise.race([machine.node.ended, sleep(GRACE_MS)]);
+    agent.destroy();
+    let late = 0;
+    let latestMs = 0;
+    for (const { service, target } of deployment.machines) {
+        for (const { id } of target.runs) {
+            const { machine, version: inForce, afterMs } = sent.get(id);
+            if (service !== services[inForce % 2] && afterMs > CONFIG_APPLY_MS) {
+                late++;
+                latestMs = Math.max(latestMs, afterMs);
+                record.write(
+                    `${id}, sent to ${machine.address} ${Math.round(afterMs)} ms after the acknowledgement of version ` +
+                        `${inForce}, is run by ${service}`,
+                );
+            }
+        }
     }
-    return broken > 0 ? 1 : 0;
+    record.write(`sent: ${sent.size}; run by the service of the older version, sent over ${CONFIG_APPLY_MS} ms after the ` +
+        `acknowledgement: ${late}, the last one ${Math.round(latestMs)} ms after it`);
+    return late > 0 ? 1 : 0;
 });
