--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -121,13 +121,17 @@
                 late++;
                 latestMs = Math.max(latestMs, afterMs);
                 record.write(
-                    `${id}, sent to ${machine.address} ${Math.round(afterMs)} ms after the acknowledgement of version ` +
+                    `${id}, sent to ${machine.address} ${
+                        Math.round(afterMs)
+                    } ms after the acknowledgement of version ` +
                         `${inForce}, is run by ${service}`,
                 );
             }
         }
     }
-    record.write(`sent: ${sent.size}; run by the service of the older version, sent over ${CONFIG_APPLY_MS} ms after the ` +
-        `acknowledgement: ${late}, the last one ${Math.round(latestMs)} ms after it`);
+    record.write(
+        `sent: ${sent.size}; run by the service of the older version, sent over ${CONFIG_APPLY_MS} ms after the ` +
+            `acknowledgement: ${late}, the last one ${Math.round(latestMs)} ms after it`,
+    );
     return late > 0 ? 1 : 0;
 });
