--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -14,6 +14,8 @@
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 18_000;
 const PAGE_ITEMS = 500;
+/** Time after which a script ends what it started; it may run for 120 s. */
+const LIMIT_MS = 110_000;
 
 /** @param {number} ms */
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
@@ -495,6 +497,17 @@
     const hasTrouble = process.env.TROUBLE !== "0";
     const started = [];
     record.write(`TROUBLE=${hasTrouble ? 1 : 0}`);
+    const end = async code => {
+        await Promise.all(started.map(part => part.close())).catch(() => undefined);
+        record.write(`exit ${code}`);
+        process.exit(code);
+    };
+    const giveUp = reason => {
+        record.write(`given up: ${reason}`);
+        void end(2);
+    };
+    setTimeout(() => giveUp("the case took too long"), LIMIT_MS);
+    ["SIGTERM", "SIGINT"].forEach(signal => process.on(signal, () => giveUp(signal)));
     let code = 2;
     try {
         code = await play({ record, hasTrouble, started });
@@ -502,7 +515,5 @@
     catch (error) {
         record.write(`the case could not run: ${error instanceof Error ? error.stack : String(error)}`);
     }
-    await Promise.all(started.map(part => part.close())).catch(() => undefined);
-    record.write(`exit ${code}`);
-    process.exit(code);
+    await end(code);
 }
