--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -3,11 +3,11 @@
  * after, the operator moves a route to another service.
  */
 import { Agent } from "node:http";
-import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Deployment, runCase, sleep } from "../lib-2/stand-ins.mjs";
 
-const folder = dirname(fileURLToPath(import.meta.url));
+/** What was sent, answered and run. */
+const recordFile = fileURLToPath(new URL("record.txt", import.meta.url));
 
 const CONFIG_APPLY_MS = 2_000;
 const ROUNDS = 6;
@@ -46,12 +46,17 @@
     };
 }
 
-await runCase(folder, async ({ record, hasTrouble, started }) => {
+await runCase(recordFile, async ({ record, hasTrouble, started }) => {
     const machines = Array.from({ length: 10 }, (_, index) => ({
         service: services[index % 2],
         zone: ["zone-a", "zone-b", "zone-c"][index % 3],
     }));
-    const deployment = await Deployment.create({ machines, configuration: configuration(1), logs: process.env.LOGS });
+    const deployment = await Deployment.create({
+        machines,
+        configuration: configuration(1),
+        record,
+        logs: process.env.LOGS,
+    });
     started.push(deployment);
     const { store } = deployment;
     deployment.machines.forEach(({ target }) => target.workMs = 2);
--- a/review/lib-2/slow-reader.mjs
+++ b/review/lib-2/slow-reader.mjs
@@ -12,7 +12,9 @@
     end = undefined;
 
     /** Without a rate, the client reads as fast as it can. */
-    constructor({ address, port, bytesPerS }) {
+    constructor({ address, port, bytesPerS, record }) {
+        this.address = address;
+        this.record = record;
         this.bytesPerS = bytesPerS;
         this.onChange = () => undefined;
         this.socket = connect(port, address);
@@ -41,6 +43,7 @@
     /** Sends one request; resolves with what was read of its answer when that is whole, broke off, or took too long. */
     request({ id, method, host, path, key, body, deadlineMs }) {
         const sentAtMs = performance.now();
+        this.record?.write(`sent: ${id}, ${method} ${path}, to ${this.address}`);
         this.received = [];
         this.receivedBytes = 0;
         this.firstAtMs = undefined;
@@ -49,7 +52,11 @@
                 clearTimeout(timer);
                 this.onChange = () => undefined;
                 const tookMs = Math.round(performance.now() - sentAtMs);
-                resolve({ id, ...this.readHead(), end, tookMs });
+                const { status, length, bodyBytes } = this.readHead();
+                this.record?.write(
+                    `answered: ${id}, ${status ?? "no answer"}, ${bodyBytes} of ${length ?? "?"} bytes, ${end}`,
+                );
+                resolve({ id, status, length, bodyBytes, end, tookMs });
             };
             const timer = setTimeout(() => settle("deadline"), deadlineMs);
             this.onChange = () => {
--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -14,22 +14,30 @@
 const FIRST_PORT = 12_000;
 const PORT_COUNT = 18_000;
 const PAGE_ITEMS = 500;
+const FLUSH_INTERVAL_MS = 200;
 /** Time after which a script ends what it started; it may run for 120 s. */
 const LIMIT_MS = 110_000;
 
 /** @param {number} ms */
 export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms));
 
-/** Writes one line of the record, with the time since the start of the script. */
+/** Record of what was sent, answered and run; each line begins with the time since the start of the script, in seconds. */
 export class Record {
+    lines = [];
+
     constructor(file) {
         this.file = file;
         this.startedAtMs = performance.now();
         writeFileSync(file, "");
+        setInterval(() => this.flush(), FLUSH_INTERVAL_MS).unref();
     }
 
     write(text) {
-        appendFileSync(this.file, `${((performance.now() - this.startedAtMs) / 1000).toFixed(3)} ${text}\n`);
+        this.lines.push(`${((performance.now() - this.startedAtMs) / 1000).toFixed(3)} ${text}\n`);
+    }
+
+    flush() {
+        appendFileSync(this.file, this.lines.splice(0).join(""));
     }
 }
 
@@ -235,7 +243,7 @@
         }
         const run = { id, atMs: performance.now(), instance: this.instance, tenant: headers["radishrouter-tenant"] };
         this.runs.push(run);
-        this.record?.write(`target ${this.instance} begins to run ${id}`);
+        this.record?.write(`run: ${id}, by target ${this.instance} of ${this.service}`);
         await sleep(this.workMs);
         const stamp = { "Radishrouter-Response-Stamp": `stamp-${id}-${this.instance}` };
         this.send(request, response, id, 200, stamp, `done ${id} at ${this.instance}`);
@@ -454,8 +462,12 @@
     /** Sends one client attempt to the node of a machine. */
     send({ address }, { id, method = "GET", host, path, key, deadlineMs = 5_000, body, agent = false, fields = {} }) {
         const startedAtMs = performance.now();
+        this.record?.write(`sent: ${id}, ${method} ${path}, to ${address}`);
         return new Promise(resolve => {
-            const end = result => resolve({ id, sentAtMs: startedAtMs, endedAtMs: performance.now(), ...result });
+            const end = result => {
+                this.record?.write(`answered: ${id}, ${result.status ?? result.error}`);
+                resolve({ id, sentAtMs: startedAtMs, endedAtMs: performance.now(), ...result });
+            };
             const outgoing = sendRequest({
                 host: address,
                 port: this.ports.outbound,
@@ -491,15 +503,16 @@
     }
 }
 
-/** Runs a case, ends all that it started, and exits as its result says. */
-export async function runCase(folder, play) {
-    const record = new Record(join(folder, "record.txt"));
+/** Runs a case, which writes its record to a file; ends all that it started, and exits as its result says. */
+export async function runCase(recordFile, play) {
+    const record = new Record(recordFile);
     const hasTrouble = process.env.TROUBLE !== "0";
     const started = [];
     record.write(`TROUBLE=${hasTrouble ? 1 : 0}`);
     const end = async code => {
         await Promise.all(started.map(part => part.close())).catch(() => undefined);
         record.write(`exit ${code}`);
+        record.flush();
         process.exit(code);
     };
     const giveUp = reason => {
