--- a/review/lib-2/stand-ins.mjs
+++ b/review/lib-2/stand-ins.mjs
@@ -464,7 +464,12 @@
         const startedAtMs = performance.now();
         this.record?.write(`sent: ${id}, ${method} ${path}, to ${address}`);
         return new Promise(resolve => {
+            let hasEnded = false;
             const end = result => {
+                if (hasEnded) {
+                    return;
+                }
+                hasEnded = true;
                 this.record?.write(`answered: ${id}, ${result.status ?? result.error}`);
                 resolve({ id, sentAtMs: startedAtMs, endedAtMs: performance.now(), ...result });
             };
